Lay the frame: workspace, decisions, node, stand-ins, load tool and command line

The first whole path. A call enters at any node, is matched to a rule, is sent to a node of its service over HTTP/2, and is admitted there by the guard of its upstream.

--- /dev/null
+++ b/components/node/src/connection/upstream.rs
@@ -0,0 +1,116 @@
+//! HTTP/1.1 connections to the upstream beside the node, each for one request at a time.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use units::Clock;
+
+use super::peers::SendError;
+use crate::process::shards::lock;
+use crate::request::body::Payload;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+type Sender<C> = http1::SendRequest<Payload<C>>;
+
+struct Idle<C: Clock> {
+    address: Option<SocketAddr>,
+    senders: Vec<Sender<C>>,
+}
+
+/// Connections to the upstream. The guard's limit bounds their number.
+pub struct Pool<C: Clock> {
+    idle: Mutex<Idle<C>>,
+}
+
+/// A connection that serves a request.
+pub struct Lane<C: Clock> {
+    pool: Arc<Pool<C>>,
+    address: SocketAddr,
+    sender: Sender<C>,
+}
+
+impl<C: Clock> Pool<C> {
+    /// No connections.
+    pub fn new() -> Self {
+        Self { idle: Mutex::new(Idle { address: None, senders: Vec::new() }) }
+    }
+
+    /// Sends one request to the upstream at `to`. A connection that the upstream closed while it was idle is
+    /// replaced by a new one, as nothing was sent on it.
+    pub async fn send(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        mut request: Request<Payload<C>>,
+    ) -> Result<(Response<Incoming>, Lane<C>), SendError> {
+        loop {
+            let (mut sender, reused) = match self.take(to) {
+                Some(sender) => (sender, true),
+                None => (connect(to).await?, false),
+            };
+            if let Err(err) = sender.ready().await {
+                if reused {
+                    continue;
+                }
+                return Err(SendError::Unsent(err.to_string()));
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => {
+                    return Ok((response, Lane { pool: self.clone(), address: to, sender }));
+                }
+                Err(mut failed) => match failed.take_message() {
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => return Err(SendError::Unsent(failed.into_error().to_string())),
+                    None => return Err(SendError::Lost(failed.into_error().to_string())),
+                },
+            }
+        }
+    }
+
+    fn take(&self, to: SocketAddr) -> Option<Sender<C>> {
+        let mut idle = lock(&self.idle);
+        if idle.address != Some(to) {
+            idle.senders.clear();
+            idle.address = Some(to);
+        }
+        while let Some(sender) = idle.senders.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn put(&self, to: SocketAddr, sender: Sender<C>) {
+        let mut idle = lock(&self.idle);
+        if idle.address == Some(to) && !sender.is_closed() {
+            idle.senders.push(sender);
+        }
+    }
+}
+
+impl<C: Clock> Lane<C> {
+    /// The answer has passed whole: the connection may serve another request.
+    pub fn give_back(self) {
+        self.pool.put(self.address, self.sender);
+    }
+}
+
+async fn connect<C: Clock>(to: SocketAddr) -> Result<Sender<C>, SendError> {
+    let unsent = |why: String| SendError::Unsent(why);
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
+        Ok(stream) => stream.map_err(|err| unsent(err.to_string()))?,
+        Err(_) => return Err(unsent("connecting took too long".to_owned())),
+    };
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|err| unsent(err.to_string()))?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
--- /dev/null
+++ b/components/node/src/control/server.rs
@@ -0,0 +1,151 @@
+//! The control side that other nodes call.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use capnp::Error;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, new_client, twoparty};
+use futures_util::AsyncReadExt;
+use journal::Log;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use units::{Clock, DomainName, NodeId, Version};
+use wire::control_capnp::peer;
+use wire::{write_members, write_summaries};
+
+use super::gossip::{self, Told};
+use super::{Control, exchange, follow};
+use crate::process::shards::lock;
+
+/// Serves other nodes for ever.
+pub async fn listen<C: Clock, L: Log>(control: Rc<Control<C, L>>, listener: TcpListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            serve(&control, stream);
+        }
+    }
+}
+
+fn serve<C: Clock, L: Log>(control: &Rc<Control<C, L>>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = control.clients.counted(stream).compat().split();
+    let network = twoparty::VatNetwork::new(reader, writer, Side::Server, Default::default());
+    let client: peer::Client = new_client(Server { control: control.clone() });
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    tokio::task::spawn_local(system);
+}
+
+struct Server<C: Clock, L: Log> {
+    control: Rc<Control<C, L>>,
+}
+
+impl<C: Clock, L: Log> peer::Server for Server<C, L> {
+    async fn gossip(
+        self: Rc<Self>,
+        params: peer::GossipParams,
+        mut results: peer::GossipResults,
+    ) -> Result<(), Error> {
+        let control = &self.control;
+        let mut told = Told::read(params.get()?.get_told()?)?;
+        let between = !told.summaries.is_empty();
+        exchange::learn(control, std::mem::take(&mut told.summaries));
+        let from = told.node.as_ref().and_then(|node| control_address(control, &told, node));
+        gossip::take(control, told.members);
+        let mut answer = gossip::telling(control, None);
+        if between {
+            answer.summaries = lock(&control.shared.summaries).values().cloned().collect();
+        }
+        answer.write(results.get().init_answer());
+        if let Some(from) = from {
+            follow::catch_up(control, from, told.version);
+            let control = control.clone();
+            // The answer doesn't wait for the repair.
+            tokio::task::spawn_local(async move {
+                exchange::reconcile(&control, from, told.digests).await
+            });
+        }
+        Ok(())
+    }
+
+    async fn reach(
+        self: Rc<Self>,
+        params: peer::ReachParams,
+        mut results: peer::ReachResults,
+    ) -> Result<(), Error> {
+        let node: NodeId = name(params.get()?.get_node()?)?;
+        let control = &self.control;
+        let member = lock(&control.shared.table).get(&node).cloned();
+        let Some(member) = member else { return Ok(()) };
+        let told = gossip::telling(control, Some(&node));
+        let patience = control.shared.settings.control.timeout;
+        if let Ok(answer) = gossip::tell(control, member.control, &told, patience).await {
+            gossip::take(control, answer.members);
+            results.get().set_reached(true);
+        }
+        Ok(())
+    }
+
+    async fn members(
+        self: Rc<Self>,
+        params: peer::MembersParams,
+        mut results: peer::MembersResults,
+    ) -> Result<(), Error> {
+        let domain = params.get()?.get_domain()?.to_str()?;
+        let table = lock(&self.control.shared.table);
+        let members = if domain.is_empty() {
+            table.all().cloned().collect()
+        } else {
+            let domain: DomainName =
+                domain.parse().map_err(|err: units::ParseError| Error::failed(err.to_string()))?;
+            table.of_domain(&domain)
+        };
+        drop(table);
+        write_members(&members, results.get().init_members(members.len() as u32));
+        Ok(())
+    }
+
+    async fn configuration(
+        self: Rc<Self>,
+        params: peer::ConfigurationParams,
+        mut results: peer::ConfigurationResults,
+    ) -> Result<(), Error> {
+        let have = Version(params.get()?.get_have());
+        let fold = lock(&self.control.shared.fold);
+        let Some(snapshot) = fold.snapshot().filter(|_| fold.version() > have) else {
+            return Ok(());
+        };
+        let state =
+            serde_json::to_string(snapshot).map_err(|err| Error::failed(err.to_string()))?;
+        let mut out = results.get().init_configuration();
+        out.set_version(fold.version().0);
+        out.set_next(snapshot.next.0);
+        out.set_state(state.as_str());
+        Ok(())
+    }
+
+    async fn overview(
+        self: Rc<Self>,
+        _: peer::OverviewParams,
+        mut results: peer::OverviewResults,
+    ) -> Result<(), Error> {
+        let summaries: Vec<_> = lock(&self.control.shared.summaries).values().cloned().collect();
+        write_summaries(&summaries, results.get().init_summaries(summaries.len() as u32));
+        Ok(())
+    }
+}
+
+/// Control address of the node that tells, from the record of itself that it sends.
+fn control_address<C: Clock, L: Log>(
+    control: &Control<C, L>,
+    told: &Told,
+    node: &NodeId,
+) -> Option<SocketAddr> {
+    let in_message =
+        told.members.iter().find(|member| member.node == *node).map(|member| member.control);
+    in_message.or_else(|| lock(&control.shared.table).get(node).map(|member| member.control))
+}
+
+fn name(text: capnp::text::Reader<'_>) -> Result<NodeId, Error> {
+    text.to_str()?.parse().map_err(|err: units::ParseError| Error::failed(err.to_string()))
+}
--- /dev/null
+++ b/components/node/src/process.rs
@@ -0,0 +1,13 @@
+//! What lives for the process.
+
+pub mod admin;
+pub mod announce;
+pub mod gate;
+pub mod members;
+pub mod metrics;
+pub mod serve;
+pub mod shards;
+pub mod shared;
+mod start;
+
+pub use start::{Error, Node, Stopped};
--- /dev/null
+++ b/components/node/src/process/admin.rs
@@ -0,0 +1,141 @@
+//! The administration API, on an address of its own.
+
+use std::sync::Arc;
+
+use poem::http::StatusCode;
+use poem::listener::TcpAcceptor;
+use poem::web::{Data, Json};
+use poem::{EndpointExt, Route, get, handler};
+use prometheus::TextEncoder;
+use serde::Serialize;
+use units::{Clock, DomainName, NodeId, ServiceName};
+
+use super::shards::lock;
+use super::shared::Shared;
+
+/// State of a node for operators.
+#[derive(Debug, Clone, Serialize)]
+pub struct Status {
+    node: NodeId,
+    domain: DomainName,
+    version: Option<u64>,
+    service: Option<ServiceName>,
+    draining: bool,
+    running: u32,
+    waiting: u32,
+    limit: u32,
+    level: u16,
+    members: Vec<MemberStatus>,
+    domains: Vec<DomainStatus>,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct MemberStatus {
+    node: NodeId,
+    domain: DomainName,
+    status: String,
+    service: Option<ServiceName>,
+    draining: bool,
+    version: u64,
+    incarnation: u64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct DomainStatus {
+    domain: DomainName,
+    present: u32,
+    lowest: u64,
+    lagging: Vec<NodeId>,
+    stamp: u64,
+}
+
+/// What the handlers need, without the type of the clock.
+#[derive(Clone)]
+struct Api {
+    status: Arc<dyn Fn() -> Status + Send + Sync>,
+    metrics: Arc<dyn Fn() -> String + Send + Sync>,
+    ready: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
+/// Serves operators for ever.
+pub async fn serve<C: Clock>(
+    shared: Arc<Shared<C>>,
+    listener: tokio::net::TcpListener,
+) -> std::io::Result<()> {
+    let (for_status, for_metrics, for_ready) = (shared.clone(), shared.clone(), shared);
+    let api = Api {
+        status: Arc::new(move || status(&for_status)),
+        metrics: Arc::new(move || metrics(&for_metrics)),
+        ready: Arc::new(move || for_ready.active().is_some()),
+    };
+    let app = Route::new()
+        .at("/healthz", get(healthz))
+        .at("/metrics", get(metrics_page))
+        .at("/status", get(status_page))
+        .data(api);
+    let acceptor = TcpAcceptor::from_tokio(listener)?;
+    poem::Server::new_with_acceptor(acceptor).run(app).await
+}
+
+#[handler]
+fn healthz(api: Data<&Api>) -> (StatusCode, &'static str) {
+    if (api.ready)() {
+        (StatusCode::OK, "ok")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "no rules yet")
+    }
+}
+
+#[handler]
+fn metrics_page(api: Data<&Api>) -> String {
+    (api.metrics)()
+}
+
+#[handler]
+fn status_page(api: Data<&Api>) -> Json<Status> {
+    Json((api.status)())
+}
+
+fn metrics<C: Clock>(shared: &Shared<C>) -> String {
+    TextEncoder::new().encode_to_string(&shared.metrics.registry().gather()).unwrap_or_default()
+}
+
+fn status<C: Clock>(shared: &Shared<C>) -> Status {
+    let now = shared.clock.now();
+    *lock(&shared.asked) = Some(now);
+    let load = shared.gate.load(now);
+    let announced = shared.announced();
+    let table = lock(&shared.table);
+    let members = table.all().map(|member| MemberStatus {
+        node: member.node.clone(),
+        domain: member.domain.clone(),
+        status: format!("{:?}", member.status).to_lowercase(),
+        service: member.upstream.as_ref().map(|upstream| upstream.service.clone()),
+        draining: member.upstream.is_some() && !member.takes_work(),
+        version: member.version.0,
+        incarnation: member.incarnation.0,
+    });
+    let mut members: Vec<MemberStatus> = members.collect();
+    members.sort_by(|a, b| (&a.domain, &a.node).cmp(&(&b.domain, &b.node)));
+    let summaries = lock(&shared.summaries);
+    let domains = summaries.values().map(|summary| DomainStatus {
+        domain: summary.domain.clone(),
+        present: summary.present,
+        lowest: summary.lowest.0,
+        lagging: summary.lagging.clone(),
+        stamp: summary.stamp,
+    });
+    Status {
+        node: shared.settings.node.clone(),
+        domain: shared.settings.domain.clone(),
+        version: shared.active().map(|active| active.version.0),
+        service: announced.as_ref().map(|announced| announced.service.clone()),
+        draining: announced.is_some_and(|announced| announced.draining),
+        running: load.running,
+        waiting: load.waiting,
+        limit: load.limit,
+        level: shared.gate.level().0,
+        members,
+        domains: domains.collect(),
+    }
+}
--- /dev/null
+++ b/components/node/src/process/members.rs
@@ -0,0 +1,135 @@
+//! The nodes that calls may be sent to, as the request path reads them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+use membership::{Member, Status, Table};
+use routing::{Candidate, Peer, Tier};
+use units::{Incarnation, NodeId, ServiceName};
+
+use super::shards::lock;
+
+/// Nodes of a service that this node sends calls to, by tier; bounds the connections of each node.
+const SUBSETS: [(Tier, usize); 3] = [(Tier::Domain, 16), (Tier::Region, 8), (Tier::Remote, 4)];
+
+/// A node that calls may be sent to.
+pub struct Target {
+    /// Its id.
+    pub node: NodeId,
+    /// Address for calls.
+    pub address: SocketAddr,
+    /// How far away it is.
+    pub tier: Tier,
+    /// It is this node itself.
+    pub local: bool,
+    incarnation: Incarnation,
+    suspect: bool,
+    /// Kept from view to view.
+    peer: Arc<Mutex<Peer>>,
+}
+
+impl Target {
+    /// What is known of its load.
+    pub fn peer(&self) -> MutexGuard<'_, Peer> {
+        lock(&self.peer)
+    }
+
+    /// What the choice needs to know of it.
+    pub fn candidate(&self, now: Instant) -> Candidate {
+        let peer = self.peer();
+        Candidate {
+            tier: self.tier,
+            score: peer.score(now),
+            full: peer.is_full(now),
+            shunned: self.suspect || peer.is_ejected(now),
+        }
+    }
+}
+
+/// The targets of each service.
+#[derive(Default)]
+pub struct View {
+    services: HashMap<ServiceName, Vec<Arc<Target>>>,
+}
+
+impl View {
+    /// Draws up the targets; what was known of their load is kept.
+    pub fn new(table: &Table, previous: &Self, now: Instant) -> Self {
+        let mut grouped: HashMap<ServiceName, Vec<&Member>> = HashMap::new();
+        for member in table.all().filter(|member| member.takes_work()) {
+            if let Some(upstream) = &member.upstream {
+                grouped.entry(upstream.service.clone()).or_default().push(member);
+            }
+        }
+        let services = grouped.into_iter().map(|(service, members)| {
+            let known = previous.targets(&service);
+            let targets = targets(table.own(), &members, known, now);
+            (service, targets)
+        });
+        Self { services: services.collect() }
+    }
+
+    /// The targets of a service.
+    pub fn targets(&self, service: &ServiceName) -> &[Arc<Target>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The services that have a target.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, usize)> {
+        self.services.iter().map(|(service, targets)| (service, targets.len()))
+    }
+}
+
+fn targets(
+    own: &Member,
+    members: &[&Member],
+    known: &[Arc<Target>],
+    now: Instant,
+) -> Vec<Arc<Target>> {
+    let mut all = Vec::new();
+    for (tier, size) in SUBSETS {
+        let in_tier = members.iter().filter(|member| tier_of(own, member) == tier);
+        let picked =
+            routing::subset(&own.node, in_tier.map(|member| (&member.node, *member)), size);
+        all.extend(picked.into_iter().map(|member| target(own, member, tier, known, now)));
+    }
+    all
+}
+
+fn target(
+    own: &Member,
+    member: &Member,
+    tier: Tier,
+    known: &[Arc<Target>],
+    now: Instant,
+) -> Arc<Target> {
+    let same = |target: &&Arc<Target>| {
+        target.node == member.node && target.incarnation == member.incarnation
+    };
+    let slots = member.upstream.as_ref().map_or(1, |upstream| upstream.slots);
+    let peer = match known.iter().find(same) {
+        Some(target) => target.peer.clone(),
+        None => Arc::new(Mutex::new(Peer::new(slots, now))),
+    };
+    Arc::new(Target {
+        node: member.node.clone(),
+        address: member.peers,
+        tier,
+        local: member.node == own.node,
+        incarnation: member.incarnation,
+        suspect: member.status == Status::Suspect,
+        peer,
+    })
+}
+
+fn tier_of(own: &Member, member: &Member) -> Tier {
+    if member.domain == own.domain {
+        Tier::Domain
+    } else if member.region == own.region {
+        Tier::Region
+    } else {
+        Tier::Remote
+    }
+}
--- /dev/null
+++ b/components/node/src/request/context.rs
@@ -0,0 +1,117 @@
+//! What a call carries from node to node: the root request's id, class, deadline and allowance.
+
+use std::fmt;
+use std::str;
+use std::time::{Duration, Instant};
+
+use limits::Priority;
+use retries::Allowance;
+use rules::Class;
+use units::{ParseError, RootId, ServiceName};
+
+const WANTED: &str = "a call context";
+
+/// Context of one call.
+#[derive(Debug, Clone)]
+pub struct Context {
+    /// The root request.
+    pub root: RootId,
+    /// Its class.
+    pub class: Class,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// Retries that the call's tree may spend.
+    pub retries: Allowance,
+    /// Calls above this one.
+    pub depth: u8,
+    /// Running it twice does no harm.
+    pub idempotent: bool,
+    /// Service that is called.
+    pub service: ServiceName,
+}
+
+impl Context {
+    /// Priority of the root request.
+    pub fn priority(&self) -> Priority {
+        Priority::new(self.class.rank(), self.root)
+    }
+
+    /// Time left.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// The form in which it travels.
+    pub fn header(&self, now: Instant) -> Header {
+        Header {
+            root: self.root,
+            class: self.class,
+            micros: self.left(now).as_micros() as u64,
+            retries: self.retries,
+            depth: self.depth,
+            idempotent: self.idempotent,
+            service: self.service.clone(),
+        }
+    }
+}
+
+/// A context on the wire: the time left takes the place of the deadline, as clocks differ.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Header {
+    root: RootId,
+    class: Class,
+    micros: u64,
+    retries: Allowance,
+    depth: u8,
+    idempotent: bool,
+    service: ServiceName,
+}
+
+impl Header {
+    /// The context at this node.
+    pub fn context(self, now: Instant) -> Context {
+        Context {
+            root: self.root,
+            class: self.class,
+            deadline: now + Duration::from_micros(self.micros),
+            retries: self.retries,
+            depth: self.depth,
+            idempotent: self.idempotent,
+            service: self.service,
+        }
+    }
+}
+
+impl fmt::Display for Header {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { root, class, micros, retries, depth, idempotent, service } = self;
+        write!(
+            out,
+            "1;{root};{class};{micros};{retries};{depth};{};{service}",
+            u8::from(*idempotent)
+        )
+    }
+}
+
+impl str::FromStr for Header {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        read(text).ok_or_else(|| ParseError::Expected(text.to_owned(), WANTED))
+    }
+}
+
+fn read(text: &str) -> Option<Header> {
+    let mut parts = text.split(';');
+    if parts.next()? != "1" {
+        return None;
+    }
+    Some(Header {
+        root: parts.next()?.parse().ok()?,
+        class: parts.next()?.parse().ok()?,
+        micros: parts.next()?.parse().ok()?,
+        retries: parts.next()?.parse().ok()?,
+        depth: parts.next()?.parse().ok()?,
+        idempotent: parts.next()? == "1",
+        service: parts.next()?.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/components/node/src/request/guard.rs
@@ -0,0 +1,165 @@
+//! The guard's side of a call: admission, the run at the upstream, and what the answer says of the tree below.
+
+use std::sync::Arc;
+
+use http::header::{self, HeaderValue};
+use http::{HeaderMap, Request};
+use limits::{Offer, Refused};
+use units::Clock;
+use verdict::{Reason, Refusal, Verdict};
+
+use super::attempt::{Answer, Failed, Head, Trailer, Tried};
+use super::body::Payload;
+use super::context::Context;
+use super::headers;
+use super::hold::{Hold, Run};
+use super::parent::{Parent, Token};
+use crate::connection::peers::SendError;
+use crate::process::gate::Entry;
+use crate::process::shared::{Announced, Shared};
+
+/// Runs a call at the upstream beside this node, if the guard lets it.
+pub async fn serve<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    context: Context,
+    head: &Head,
+    body: Payload<C>,
+) -> Tried<C> {
+    let token = shared.token();
+    let Some(announced) =
+        shared.announced().filter(|announced| announced.service == context.service)
+    else {
+        return Err(unrun(shared, &context, Reason::NoUpstream));
+    };
+    admit(shared, &context, token).await?;
+    shared.calls.insert(token, Parent::new(context.clone()));
+    let run = Run::new(shared.clone(), token);
+    let Some(request) = request(shared, &context, token, &announced, head, body) else {
+        return Err(unrun(shared, &context, Reason::Malformed));
+    };
+    let left = context.left(shared.clock.now());
+    let sent = tokio::time::timeout(left, shared.pool.send(announced.address, request)).await;
+    let (response, lane) = match sent {
+        Ok(Ok(sent)) => sent,
+        Ok(Err(SendError::Unsent(_))) => return Err(unrun(shared, &context, Reason::Unreachable)),
+        Ok(Err(SendError::Lost(_))) => return Err(lost(shared, token, Reason::ConnectionLost)),
+        Err(_) => return Err(lost(shared, token, Reason::Deadline)),
+    };
+    Ok(answer(
+        shared,
+        token,
+        response,
+        Hold { run: Some(run), lane: Some(lane), ..Hold::default() },
+    ))
+}
+
+async fn admit<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    context: &Context,
+    token: Token,
+) -> Result<(), Failed> {
+    let now = shared.clock.now();
+    let offer = Offer {
+        key: token,
+        priority: context.priority(),
+        deadline: context.deadline,
+        root: context.depth == 0,
+    };
+    let refused = match shared.gate.enter(offer, now) {
+        Entry::Run => return Ok(()),
+        Entry::Refused(refused) => refused,
+        Entry::Wait(waiter) => match waiter.answer().await {
+            Ok(()) => return Ok(()),
+            Err(refused) => refused,
+        },
+    };
+    Err(unrun(shared, context, reason(refused)))
+}
+
+fn reason(refused: Refused) -> Reason {
+    match refused {
+        Refused::Level | Refused::Full | Refused::Waited => Reason::Overloaded,
+        Refused::Deadline => Reason::Deadline,
+        Refused::Draining => Reason::Draining,
+    }
+}
+
+/// A refusal before a byte was handed to the upstream.
+fn unrun<C: Clock>(shared: &Shared<C>, context: &Context, reason: Reason) -> Failed {
+    shared.metrics.refusal(reason, Verdict::NotRun);
+    let mut refusal = Refusal::not_run(reason, &shared.settings.node);
+    if reason == Reason::Overloaded {
+        refusal = refusal.retry_after(shared.gate.retry_after());
+    }
+    let trailer =
+        Trailer { level: shared.gate.level(), returned: context.retries, exhausted: false };
+    Failed { refusal, trailer, lethal: false }
+}
+
+/// A failure after the request was handed to the upstream.
+fn lost<C: Clock>(shared: &Shared<C>, token: Token, reason: Reason) -> Failed {
+    shared.metrics.refusal(reason, Verdict::MayHaveRun);
+    let refusal = Refusal::new(Verdict::MayHaveRun, reason, &shared.settings.node);
+    Failed { refusal, trailer: trailer(shared, token), lethal: reason == Reason::ConnectionLost }
+}
+
+fn answer<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    token: Token,
+    response: http::Response<hyper::body::Incoming>,
+    mut hold: Hold<C>,
+) -> Answer<C> {
+    let trailer = trailer(shared, token);
+    let (mut parts, incoming) = response.into_parts();
+    headers::strip_hop(&mut parts.headers);
+    let upstream_verdict: Option<Verdict> = headers::parse(&parts.headers, &headers::VERDICT);
+    headers::strip_own(&mut parts.headers);
+    if parts.status.is_server_error() {
+        if let Some(run) = &mut hold.run {
+            run.spoil();
+        }
+        // Only an explicit word of the upstream makes it `not run`.
+        let verdict =
+            upstream_verdict.filter(|verdict| *verdict == Verdict::NotRun).unwrap_or(Verdict::Ran);
+        headers::set(&mut parts.headers, headers::VERDICT, verdict);
+    }
+    Answer { head: parts, body: Payload::answer(incoming, hold), trailer }
+}
+
+/// What the run says of the tree below it; the rest of its allowance goes back with the answer.
+fn trailer<C: Clock>(shared: &Shared<C>, token: Token) -> Trailer {
+    let own = shared.gate.level();
+    let below = shared.calls.with(token, |parent| Trailer {
+        level: parent.level.max(own),
+        returned: parent.close(),
+        exhausted: parent.exhausted,
+    });
+    below.unwrap_or(Trailer { level: own, ..Trailer::default() })
+}
+
+fn request<C: Clock>(
+    shared: &Shared<C>,
+    context: &Context,
+    token: Token,
+    announced: &Announced,
+    head: &Head,
+    body: Payload<C>,
+) -> Option<Request<Payload<C>>> {
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = http::Uri::from(head.path.clone());
+    let mut map = head.headers.clone();
+    tie(&mut map, shared, context, token);
+    if !map.contains_key(header::HOST) {
+        map.insert(header::HOST, HeaderValue::try_from(announced.address.to_string()).ok()?);
+    }
+    *request.headers_mut() = map;
+    Some(request)
+}
+
+/// Adds what the upstream forwards or goes by: the baggage, the time left and the class.
+fn tie<C: Clock>(map: &mut HeaderMap, shared: &Shared<C>, context: &Context, token: Token) {
+    headers::set_baggage(map, &token.to_string());
+    headers::set(map, headers::DEADLINE, context.left(shared.clock.now()).as_millis());
+    headers::set(map, headers::CLASS, context.class);
+}
--- /dev/null
+++ b/components/standins/src/serve.rs
@@ -0,0 +1,33 @@
+//! Serving a poem endpoint on an address until the process is told to stop.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poem::listener::TcpListener;
+use tokio::signal::unix::{self, SignalKind};
+
+const DRAIN: Duration = Duration::from_secs(30);
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn stop_signal() {
+    let term = unix::signal(SignalKind::terminate());
+    let int = unix::signal(SignalKind::interrupt());
+    let (Ok(mut term), Ok(mut int)) = (term, int) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
+/// Serves until `stop` is ready, then finishes what is in flight.
+pub async fn until(
+    address: SocketAddr,
+    endpoint: impl poem::IntoEndpoint + 'static,
+    stop: impl Future<Output = ()>,
+) -> std::io::Result<()> {
+    poem::Server::new(TcpListener::bind(address))
+        .run_with_graceful_shutdown(endpoint, stop, Some(DRAIN))
+        .await
+}
--- /dev/null
+++ b/components/standins/src/upstream/chain.rs
@@ -0,0 +1,54 @@
+//! The calls that an upstream makes further down the chain.
+
+use std::str;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use serde_json::Value;
+
+use super::Upstream;
+use crate::client;
+
+/// Headers that tie a call to the request it is made for, and the request's own id.
+const FORWARDED: [&str; 2] = ["baggage", "standin-id"];
+
+/// A call made for each request, such as `GET:/stock`.
+#[derive(Debug, Clone)]
+pub struct Child {
+    method: http::Method,
+    path: String,
+}
+
+impl str::FromStr for Child {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let wrong = || format!("`{text}` is not METHOD:/path");
+        let (method, path) = text.split_once(':').ok_or_else(wrong)?;
+        Ok(Self { method: method.parse().map_err(|_| wrong())?, path: path.to_owned() })
+    }
+}
+
+/// Makes every call, one after the other; `None` when one has no whole answer.
+pub async fn call_all(upstream: &Upstream, headers: &http::HeaderMap) -> Option<Vec<Value>> {
+    let mut answers = Vec::new();
+    for child in &upstream.plan.children {
+        answers.push(call(upstream, child, headers).await?);
+    }
+    Some(answers)
+}
+
+async fn call(upstream: &Upstream, child: &Child, headers: &http::HeaderMap) -> Option<Value> {
+    let node = upstream.plan.node?;
+    let mut request = http::Request::builder()
+        .method(child.method.clone())
+        .uri(format!("http://{node}{}", child.path));
+    for name in FORWARDED {
+        if let Some(value) = headers.get(name) {
+            request = request.header(name, value);
+        }
+    }
+    let answer =
+        client::send(&upstream.http, request.body(Full::<Bytes>::default()).ok()?).await.ok()??;
+    let body: Value = serde_json::from_slice(&answer.body).ok()?;
+    (answer.head.status.is_success() && body["whole"] == true).then_some(body)
+}
--- /dev/null
+++ b/components/units/src/macros.rs
@@ -0,0 +1,135 @@
+//! Macros that give types of one kind the same derives and conversions.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// A text that is not a value of the wanted type.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum ParseError {
+        /// The text and a description of what would have been taken.
+        Expected(text: String, wanted: &'static str) {
+            display("`{}` is not {}", text, wanted)
+        }
+    }
+}
+
+/// Derives for small values that are copied, compared and used as keys.
+#[macro_export]
+macro_rules! value {
+    ($($item:item)*) => { $(
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        $item
+    )* };
+}
+
+/// Derives for records that are cloned and compared as a whole.
+#[macro_export]
+macro_rules! record {
+    ($($item:item)*) => { $(
+        #[derive(Debug, Clone, PartialEq)]
+        $item
+    )* };
+}
+
+/// Derives for records that travel as JSON; unknown fields are refused.
+#[macro_export]
+macro_rules! wire {
+    ($($item:item)*) => { $(
+        #[derive(Debug, Clone, PartialEq, ::serde::Serialize, ::serde::Deserialize)]
+        #[serde(deny_unknown_fields)]
+        $item
+    )* };
+}
+
+/// Serialises a type as the text of its `Display` and `FromStr`.
+#[macro_export]
+macro_rules! text_serde {
+    ($name:ident, $wanted:expr) => {
+        impl ::serde::Serialize for $name {
+            fn serialize<S: ::serde::Serializer>(&self, out: S) -> Result<S::Ok, S::Error> {
+                out.collect_str(self)
+            }
+        }
+
+        impl<'de> ::serde::Deserialize<'de> for $name {
+            fn deserialize<D: ::serde::Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+                struct TextVisitor;
+                impl ::serde::de::Visitor<'_> for TextVisitor {
+                    type Value = $name;
+                    fn expecting(&self, out: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+                        out.write_str($wanted)
+                    }
+                    fn visit_str<E: ::serde::de::Error>(self, text: &str) -> Result<$name, E> {
+                        text.parse().map_err(|_| {
+                            E::invalid_value(::serde::de::Unexpected::Str(text), &self)
+                        })
+                    }
+                }
+                input.deserialize_str(TextVisitor)
+            }
+        }
+    };
+}
+
+/// Defines a name: 1 to 64 lower-case letters, digits, `.`, `_` and `-`, shared when cloned.
+macro_rules! name {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(std::sync::Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                out.write_str(&self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::macros::ParseError;
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                if $crate::ids::is_name(text) {
+                    return Ok(Self(text.into()));
+                }
+                Err($crate::macros::ParseError::Expected(text.to_owned(), $crate::ids::NAME_WANTED))
+            }
+        }
+
+        $crate::text_serde!($name, $crate::ids::NAME_WANTED);
+    };
+}
+
+/// Defines a counter: an unsigned number with an order.
+macro_rules! counter {
+    ($(#[$meta:meta])* $name:ident) => {
+        $crate::value! {
+            $(#[$meta])*
+            #[derive(Default, serde::Serialize, serde::Deserialize)]
+            #[serde(transparent)]
+            pub struct $name(pub u64);
+        }
+
+        impl std::fmt::Display for $name {
+            fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                self.0.fmt(out)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = $crate::macros::ParseError;
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self).map_err(|_| {
+                    $crate::macros::ParseError::Expected(text.to_owned(), "a whole number")
+                })
+            }
+        }
+    };
+}
+
+pub(crate) use {counter, name};
--- /dev/null
+++ b/components/verdict/src/lib.rs
@@ -0,0 +1,52 @@
+//! Whether a request may have run, and the error a caller gets when it has no whole answer.
+//!
+//! `NotRun` is claimed only by someone who knows: the guard before a byte was handed to the upstream, or the upstream
+//! itself. Whoever can't know says `MayHaveRun`.
+
+mod reason;
+mod refusal;
+
+pub use reason::Reason;
+pub use refusal::Refusal;
+
+use std::fmt;
+use std::str;
+
+units::value! {
+    /// Whether the request may have run, from the most to the least safe to send again.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum Verdict {
+        /// It did not run and never will.
+        NotRun,
+        /// Nobody can tell.
+        MayHaveRun,
+        /// It ran.
+        Ran,
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::Ran => "ran",
+        })
+    }
+}
+
+impl str::FromStr for Verdict {
+    type Err = units::ParseError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "not-run" => Ok(Self::NotRun),
+            "may-have-run" => Ok(Self::MayHaveRun),
+            "ran" => Ok(Self::Ran),
+            _ => Err(units::ParseError::Expected(
+                text.to_owned(),
+                "`not-run`, `may-have-run` or `ran`",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Messages of the control traffic between nodes, and their conversion to and from the types the decisions use.
+
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic, clippy::unwrap_used)]
+#[rustfmt::skip]
+pub mod control_capnp;
+mod convert;
+mod summary;
+
+pub use convert::{read_member, read_members, write_member, write_members};
+pub use summary::{Summary, read_summaries, write_summaries};
--- /dev/null
+++ b/components/wire/src/summary.rs
@@ -0,0 +1,60 @@
+//! Summaries of failure domains, for operators and for `publish`.
+
+use capnp::struct_list;
+use units::{DomainName, NodeId, RegionName, Version};
+
+use crate::control_capnp::summary;
+use crate::convert::parse;
+
+units::record! {
+    /// State of one failure domain, as its delegate last told.
+    pub struct Summary {
+        /// The failure domain.
+        pub domain: DomainName,
+        /// The region it is in.
+        pub region: RegionName,
+        /// Milliseconds since the epoch at which it was drawn up; the later wins.
+        pub stamp: u64,
+        /// Nodes that are there.
+        pub present: u32,
+        /// Lowest version in force at any of them.
+        pub lowest: Version,
+        /// Some of the nodes at that version, where others have a later one.
+        pub lagging: Vec<NodeId>,
+    }
+}
+
+/// Writes a list of summaries.
+pub fn write_summaries(summaries: &[Summary], mut out: struct_list::Builder<'_, summary::Owned>) {
+    for (index, from) in summaries.iter().enumerate() {
+        let mut to = out.reborrow().get(index as u32);
+        to.set_domain(from.domain.as_str());
+        to.set_region(from.region.as_str());
+        to.set_stamp(from.stamp);
+        to.set_present(from.present);
+        to.set_lowest(from.lowest.0);
+        let mut lagging = to.init_lagging(from.lagging.len() as u32);
+        for (index, node) in from.lagging.iter().enumerate() {
+            lagging.set(index as u32, node.as_str());
+        }
+    }
+}
+
+/// Reads a list of summaries.
+pub fn read_summaries(
+    input: struct_list::Reader<'_, summary::Owned>,
+) -> capnp::Result<Vec<Summary>> {
+    input.iter().map(read).collect()
+}
+
+fn read(input: summary::Reader<'_>) -> capnp::Result<Summary> {
+    let lagging = input.get_lagging()?;
+    Ok(Summary {
+        domain: parse(input.get_domain()?)?,
+        region: parse(input.get_region()?)?,
+        stamp: input.get_stamp(),
+        present: input.get_present(),
+        lowest: Version(input.get_lowest()),
+        lagging: lagging.iter().map(|node| parse(node?)).collect::<capnp::Result<_>>()?,
+    })
+}
--- /dev/null
+++ b/src/cmd.rs
@@ -0,0 +1,36 @@
+//! The subcommands, one file each.
+
+mod audit;
+mod check;
+mod completions;
+mod error;
+mod get;
+mod load;
+mod node;
+mod publish;
+mod status;
+mod watch;
+
+use std::process::ExitCode;
+
+use crate::cli::Command;
+use error::Error;
+
+/// Runs a subcommand.
+pub fn run(command: Command) -> Result<ExitCode, Error> {
+    match command {
+        Command::Node(args) => node::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Publish(args) => publish::run(&args),
+        Command::Watch(args) => watch::run(&args),
+        Command::Audit(args) => audit::run(&args),
+        Command::Status(args) => status::run(&args),
+        Command::Load(args) => load::run(&args),
+        Command::Completions { shell } => completions::run(shell),
+    }
+}
+
+/// A runtime for commands that only ask something.
+fn runtime() -> Result<tokio::runtime::Runtime, Error> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(Error::Runtime)
+}
--- /dev/null
+++ b/src/cmd/audit.rs
@@ -0,0 +1,38 @@
+//! `almondknot audit`: what became of each change.
+
+use std::process::ExitCode;
+
+use journal::{Event, Fold, HttpLog};
+use units::Offset;
+
+use super::error::Error;
+use super::{runtime, watch};
+use crate::cli::LogArgs;
+
+/// Prints every change that the log still holds.
+pub fn run(args: &LogArgs) -> Result<ExitCode, Error> {
+    let log = HttpLog::new(args.log);
+    let mut fold = Fold::new();
+    runtime()?.block_on(watch::read_all(&log, &args.stream, &mut fold, print))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print(offset: Offset, event: &Event) {
+    match event {
+        Event::Accepted(published) => {
+            println!(
+                "{offset} accepted version {} by {} ({})",
+                published.version, published.author, published.id
+            );
+        }
+        Event::Conflict { id, author, base, current } => {
+            println!(
+                "{offset} rejected ({id}) by {author}: made from {base}, in force was {current}"
+            );
+        }
+        Event::Applied { version, domain, at } => {
+            println!("{offset} applied version {version} in {domain} at {at} ms");
+        }
+        Event::Unreadable(why) => println!("{offset} unreadable: {why}"),
+    }
+}
--- /dev/null
+++ b/src/cmd/error.rs
@@ -0,0 +1,104 @@
+//! Errors of the subcommands and their exit codes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use quick_error::quick_error;
+
+const NOT_DONE: u8 = 1;
+const BAD_FILE: u8 = 3;
+const BAD_ADDRESS: u8 = 4;
+const UNKNOWN: u8 = 5;
+
+quick_error! {
+    /// Why a subcommand failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A settings file is wrong.
+        Settings(err: settings::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// A file can't be read or written.
+        File(path: PathBuf, err: std::io::Error) {
+            display("{}: {}", path.display(), err)
+            source(err)
+        }
+        /// A rules file is wrong.
+        Rules(path: PathBuf, errors: rules::Errors) {
+            display("{}", errors.0.iter().map(|flaw| format!("{}:{flaw}", path.display())).collect::<Vec<_>>().join("\n"))
+            source(errors)
+        }
+        /// An experiment file is wrong.
+        Experiment(err: ::load::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// A node can't start.
+        Start(err: ::node::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The logger can't start.
+        Logger(err: flexi_logger::FlexiLoggerError) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The runtime can't start.
+        Runtime(err: std::io::Error) {
+            display("the runtime can't be started: {}", err)
+            source(err)
+        }
+        /// An address gave no answer.
+        Unreachable(address: SocketAddr, why: String) {
+            display("{}: no answer: {}", address, why)
+        }
+        /// The log can't be read.
+        Log(err: journal::ReadError) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// Another publish came first.
+        Conflict(current: u64) {
+            display("conflict: version {} is in force, and the rules were made from another; look at it, merge, \
+                     and publish with `--base {}`", current, current)
+        }
+        /// The log refused the record.
+        Refused(why: String) {
+            display("not published: {}", why)
+        }
+        /// Nobody knows whether the record is in the log.
+        Lost(id: String) {
+            display("unknown: the log's answer was lost and the log can't be read; ask again with `--id {}`", id)
+        }
+        /// Some domains don't have the version.
+        Lagging(version: u64, domains: String) {
+            display("accepted at {}, but not in force everywhere: {}", version, domains)
+        }
+    }
+}
+
+impl Error {
+    /// The exit code that the command line's help gives for it.
+    pub fn code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Settings(_) | Self::File(..) | Self::Rules(..) | Self::Experiment(_) => BAD_FILE,
+            Self::Start(::node::Error::Listen(..)) | Self::Unreachable(..) | Self::Log(_) => {
+                BAD_ADDRESS
+            }
+            Self::Start(_) => BAD_FILE,
+            Self::Lost(_) => UNKNOWN,
+            Self::Logger(_)
+            | Self::Runtime(_)
+            | Self::Conflict(..)
+            | Self::Refused(_)
+            | Self::Lagging(..) => NOT_DONE,
+        })
+    }
+}
--- /dev/null
+++ b/src/cmd/publish.rs
@@ -0,0 +1,118 @@
+//! `almondknot publish`: rules into the log, and a wait until they are in force.
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use journal::{AppendError, ChangeId, Fold, HttpLog, Log, Outcome, Record};
+use serde_json::Value;
+use units::{Clock, SystemClock, Version};
+
+use super::error::Error;
+use super::{check, get, runtime, watch};
+use crate::cli::PublishArgs;
+
+/// Time to settle a lost answer by reading.
+const SETTLE: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(100);
+
+/// Publishes rules.
+pub fn run(args: &PublishArgs) -> Result<ExitCode, Error> {
+    let (text, _) = check::read_rules(&args.rules)?;
+    runtime()?.block_on(publish(args, text))
+}
+
+async fn publish(args: &PublishArgs, text: String) -> Result<ExitCode, Error> {
+    let log = HttpLog::new(args.log.log);
+    let mut fold = Fold::new();
+    watch::read_all(&log, &args.log.stream, &mut fold, |_, _| {}).await?;
+    let id = ChangeId(args.id.clone().unwrap_or_else(|| new_id(args)));
+    if fold.outcome(&id).is_none() {
+        let base = args.base.unwrap_or(fold.version());
+        let record = Record::Publish {
+            id: id.clone(),
+            base,
+            author: args.author.clone(),
+            text: text.into(),
+        };
+        let record =
+            serde_json::to_string(&record).map_err(|err| Error::Refused(err.to_string()))?;
+        match log.append(&args.log.stream, record).await {
+            Ok(_) | Err(AppendError::Unknown(_)) => {}
+            Err(AppendError::Refused(why)) => return Err(Error::Refused(why)),
+        }
+    }
+    let version = settle(&log, &args.log.stream, &mut fold, &id).await?;
+    println!("accepted at {version}");
+    match args.node {
+        Some(_) => in_force(args, version).await,
+        None => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn new_id(args: &PublishArgs) -> String {
+    let wall = SystemClock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("{}-{}-{}", args.author, wall.as_millis(), std::process::id())
+}
+
+/// Reads until the log says what became of the publish; a lost answer is no reason to append again.
+async fn settle(
+    log: &HttpLog,
+    stream: &str,
+    fold: &mut Fold,
+    id: &ChangeId,
+) -> Result<Version, Error> {
+    let until = SystemClock.now() + SETTLE;
+    let mut quiet = 0;
+    loop {
+        let read = watch::read_all(log, stream, fold, |_, _| {}).await;
+        match fold.outcome(id) {
+            Some(Outcome::Accepted(version)) => return Ok(*version),
+            Some(Outcome::Conflict(current)) => return Err(Error::Conflict(current.0)),
+            None => {}
+        }
+        quiet += u32::from(read.is_ok());
+        if SystemClock.now() >= until {
+            let missing = quiet > 0 && read.is_ok();
+            return Err(if missing { not_there(id) } else { Error::Lost(id.to_string()) });
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn not_there(id: &ChangeId) -> Error {
+    Error::Refused(format!("the log has no record of it (ask again with `--id {id}`)"))
+}
+
+/// Waits until every failure domain reports the version.
+async fn in_force(args: &PublishArgs, version: Version) -> Result<ExitCode, Error> {
+    let Some(node) = args.node else { return Ok(ExitCode::SUCCESS) };
+    let started: Instant = SystemClock.now();
+    loop {
+        let status = get::json(node, "/status").await?;
+        let behind = behind(&status, version);
+        if behind.is_empty() {
+            println!("in force everywhere after {:.1} s", started.elapsed().as_secs_f64());
+            return Ok(ExitCode::SUCCESS);
+        }
+        if started.elapsed() >= args.wait {
+            return Err(Error::Lagging(version.0, behind.join(", ")));
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Failure domains that have not reported the version, with some of their nodes.
+fn behind(status: &Value, version: Version) -> Vec<String> {
+    let domains = status["domains"].as_array();
+    if domains.is_none_or(Vec::is_empty) {
+        return vec!["no failure domain has reported yet".to_owned()];
+    }
+    let late =
+        domains.into_iter().flatten().filter(|domain| domain["lowest"].as_u64() < Some(version.0));
+    late.map(|domain| {
+        let nodes: Vec<&str> =
+            domain["lagging"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
+        format!("{} ({})", domain["domain"].as_str().unwrap_or_default(), nodes.join(" "))
+    })
+    .collect()
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,19 @@
+//! Overload control for service call graphs: the program.
+
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    let cli = cli::Cli::parse();
+    match cmd::run(cli.command) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("almondknot: {err}");
+            err.code()
+        }
+    }
+}
