--- a/components/limits/src/guard.rs
+++ b/components/limits/src/guard.rs
@@ -18,6 +18,10 @@
         pub slots: u32,
         /// Longest time a request may wait for a slot.
         pub queue: Duration,
+        /// The limit follows the measurements.
+        pub adaptive: bool,
+        /// New trees are refused by the admission level.
+        pub levels: bool,
     }
 
     /// A request that asks to run.
@@ -95,7 +99,11 @@
     pub fn new(config: Config, now: Instant) -> Self {
         Self {
             config,
-            limit: Limit::new(config.slots, now),
+            limit: if config.adaptive {
+                Limit::new(config.slots, now)
+            } else {
+                Limit::fixed(config.slots, now)
+            },
             level: Level::new(now),
             queue: Queue::new(),
             running: 0,
@@ -126,7 +134,7 @@
         if self.draining.is_some_and(|from| now >= from) {
             return Decision::Refuse(Refused::Draining);
         }
-        if offer.root && !self.level.admits(offer.priority) {
+        if self.config.levels && offer.root && !self.level.admits(offer.priority) {
             return Decision::Refuse(Refused::Level);
         }
         if offer.deadline <= now + self.expected(offer.priority, now) {
--- a/components/limits/src/limit.rs
+++ b/components/limits/src/limit.rs
@@ -47,6 +47,8 @@
 enum State {
     /// After a start: grows fast.
     Ramp,
+    /// Stays at the cap.
+    Fixed,
     /// Follows the measurements.
     Steady,
     /// A lower limit is being tried; the limit and throughput before it.
@@ -85,6 +87,12 @@
         }
     }
 
+    /// A limit that stays where it is.
+    pub fn fixed(cap: u32, now: Instant) -> Self {
+        let cap = cap.max(1);
+        Self { value: f64::from(cap), state: State::Fixed, ..Self::new(cap, now) }
+    }
+
     /// The limit now.
     pub fn get(&self, now: Instant) -> u32 {
         (self.value as u32).min(self.ceiling(now)).max(1)
@@ -93,18 +101,25 @@
     /// Changes the announced slots.
     pub fn set_cap(&mut self, cap: u32) {
         self.cap = cap.max(1);
-        self.value = self.value.min(f64::from(self.cap));
+        self.value = if self.state == State::Fixed {
+            f64::from(self.cap)
+        } else {
+            self.value.min(f64::from(self.cap))
+        };
     }
 
     /// Takes the upstream's own load report, which may lower the limit for a while and never raises it.
     pub fn hint(&mut self, busy: u32, waiting: u32, now: Instant) {
-        if waiting > 0 && busy > 0 {
+        if waiting > 0 && busy > 0 && self.state != State::Fixed {
             self.hint = Some((busy, now + HINT_LIFE));
         }
     }
 
     /// Takes the own time of a finished request; `full` when the limit was reached while it ran.
     pub fn sample(&mut self, own: Duration, full: bool, now: Instant) {
+        if self.state == State::Fixed {
+            return;
+        }
         self.window.samples += 1;
         self.window.full += u32::from(full);
         self.window.time += own.as_secs_f64();
@@ -137,7 +152,7 @@
             State::Trial { value, rate: before } => self.judge(value, before, rate),
             State::Ramp if !inflated => self.grow(RAMP_UP),
             State::Ramp | State::Steady if self.wants_trial(inflated) => self.try_lower(rate),
-            State::Ramp | State::Steady => self.grow(STEP_UP),
+            State::Ramp | State::Steady | State::Fixed => self.grow(STEP_UP),
         }
     }
 
--- a/components/load/src/client.rs
+++ b/components/load/src/client.rs
@@ -32,6 +32,13 @@
     Lost,
 }
 
+impl Tried {
+    /// Whether the answer said that the request did not run.
+    pub fn is_unrun(&self) -> bool {
+        matches!(self, Self::Refused { verdict, .. } if verdict == "not-run")
+    }
+}
+
 /// Client of all callers.
 #[derive(Clone)]
 pub struct Client {
--- a/components/load/src/outcome.rs
+++ b/components/load/src/outcome.rs
@@ -21,8 +21,8 @@
     pub arrived: u64,
     /// Requests that got their whole answer.
     pub whole: u64,
-    /// Longest latency of a whole answer, in microseconds.
-    pub worst: u64,
+    /// Latencies of whole answers, in microseconds.
+    pub latency: Vec<u32>,
 }
 
 /// Figures of one mix.
@@ -42,7 +42,9 @@
     pub failed: BTreeMap<String, u64>,
     /// Requests that failed, by the verdict of the last try.
     pub verdicts: BTreeMap<String, u64>,
-    /// Ids of requests whose last verdict was `not-run`.
+    /// Ids of requests that failed.
+    pub lost: Vec<String>,
+    /// Ids of requests whose every verdict was `not-run`.
     pub unrun: Vec<String>,
     /// Latency of whole answers in microseconds: median, 90th, 99th percentile and longest.
     pub latency: [u64; 4],
@@ -69,6 +71,7 @@
             crossed: 0,
             failed: BTreeMap::new(),
             verdicts: BTreeMap::new(),
+            lost: Vec::new(),
             unrun: Vec::new(),
             latency: [0; 4],
             line: Vec::new(),
@@ -79,23 +82,24 @@
         }
     }
 
-    /// Takes the end of one request: when it arrived, how long it took, how often it was sent, and the last try.
-    pub fn add(&mut self, id: &str, arrived: Duration, took: Duration, sent: u64, last: Tried) {
+    /// Takes the end of one request: when it arrived, how long it took, and its tries.
+    pub fn add(&mut self, id: &str, arrived: Duration, took: Duration, tries: &[Tried]) {
         let summary = &mut self.summary;
         summary.requests += 1;
-        summary.sent += sent;
+        summary.sent += tries.len() as u64;
         let index = (arrived.as_micros() / BUCKET.as_micros()) as usize;
         if summary.line.len() <= index {
             summary.line.resize(index + 1, Bucket::default());
         }
         let bucket = &mut summary.line[index];
         bucket.arrived += 1;
+        let last = tries.last().cloned().unwrap_or(Tried::Lost);
         let (reason, verdict) = match last {
             Tried::Whole => {
                 let micros = took.as_micros() as u64;
                 summary.whole += 1;
                 bucket.whole += 1;
-                bucket.worst = bucket.worst.max(micros);
+                bucket.latency.push(micros.min(u64::from(u32::MAX)) as u32);
                 self.latency.saturating_record(micros);
                 return;
             }
@@ -107,7 +111,8 @@
             Tried::TimedOut => ("caller-timeout".to_owned(), "unknown".to_owned()),
             Tried::Lost => ("connection".to_owned(), "unknown".to_owned()),
         };
-        if verdict == "not-run" {
+        summary.lost.push(id.to_owned());
+        if tries.iter().all(Tried::is_unrun) {
             summary.unrun.push(id.to_owned());
         }
         *summary.failed.entry(reason).or_default() += 1;
--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -78,19 +78,16 @@
     let entries = runner.mix.entries.as_deref().unwrap_or_default();
     let id = format!("{}-{number}", runner.mix.name.replace(' ', "-"));
     let since = runner.start + arrived;
-    let mut sent = 0;
-    let last = loop {
-        let to = entries[(number + sent as usize) % entries.len()];
+    let mut tries = Vec::new();
+    loop {
+        let to = entries[(number + tries.len()) % entries.len()];
         let tried = runner.client.send(to, &runner.mix, &id, runner.timeout).await;
-        sent += 1;
-        if tried == Tried::Whole || sent > u64::from(runner.mix.resend) {
-            break tried;
+        let whole = tried == Tried::Whole;
+        tries.push(tried);
+        if whole || tries.len() > runner.mix.resend as usize {
+            break;
         }
-    };
+    }
     let took = since.elapsed();
-    runner
-        .outcome
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .add(&id, arrived, took, sent, last);
+    runner.outcome.lock().unwrap_or_else(PoisonError::into_inner).add(&id, arrived, took, &tries);
 }
--- a/components/node/src/connection/peers.rs
+++ b/components/node/src/connection/peers.rs
@@ -4,7 +4,7 @@
 //! claimed when it wasn't.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,9 +13,9 @@
 use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use quick_error::quick_error;
-use tokio::net::TcpStream;
 use units::Clock;
 
+use crate::connection;
 use crate::process::shards::lock;
 use crate::request::body::Payload;
 
@@ -51,13 +51,14 @@
 /// Connections to other nodes.
 pub struct Links<C: Clock> {
     links: Mutex<HashMap<SocketAddr, Arc<Link<C>>>>,
+    from: IpAddr,
     clock: C,
 }
 
 impl<C: Clock> Links<C> {
-    /// No connections.
-    pub fn new(clock: C) -> Self {
-        Self { links: Mutex::default(), clock }
+    /// No connections; they will be made from the address `from`.
+    pub fn new(from: IpAddr, clock: C) -> Self {
+        Self { links: Mutex::default(), from, clock }
     }
 
     /// Sends one call.
@@ -94,10 +95,8 @@
         if let Some(open) = sender.as_ref().filter(|open| !open.is_closed()) {
             return Ok(open.clone());
         }
-        let fresh = match tokio::time::timeout(CONNECT_TIMEOUT, connect(to)).await {
-            Ok(fresh) => fresh.map_err(|err| SendError::Unsent(err.to_string()))?,
-            Err(_) => return Err(SendError::Unsent("connecting took too long".to_owned())),
-        };
+        let fresh =
+            connect(self.from, to).await.map_err(|err| SendError::Unsent(err.to_string()))?;
         *sender = Some(fresh.clone());
         Ok(fresh)
     }
@@ -113,11 +112,11 @@
 }
 
 async fn connect<C: Clock>(
+    from: IpAddr,
     to: SocketAddr,
 ) -> Result<Sender<C>, Box<dyn std::error::Error + Send + Sync>> {
-    let stream = TcpStream::connect(to).await?;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+    let stream = connection::connect(from, to, CONNECT_TIMEOUT).await?;
+    let (sender, driver) = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_EVERY)
         .keep_alive_timeout(PING_TIMEOUT)
@@ -125,7 +124,7 @@
         .initial_connection_window_size(STREAM_WINDOW * 4)
         .handshake(TokioIo::new(stream))
         .await?;
-    tokio::spawn(connection);
+    tokio::spawn(driver);
     Ok(sender)
 }
 
--- a/components/node/src/connection/upstream.rs
+++ b/components/node/src/connection/upstream.rs
@@ -73,6 +73,14 @@
         }
     }
 
+    /// Whether nobody listens at the upstream's address any more.
+    pub async fn is_gone(address: SocketAddr) -> bool {
+        !matches!(
+            tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await,
+            Ok(Ok(_))
+        )
+    }
+
     fn take(&self, to: SocketAddr) -> Option<Sender<C>> {
         let mut idle = lock(&self.idle);
         if idle.address != Some(to) {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod join;
 mod server;
+mod suspects;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -19,12 +20,12 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use units::{Clock, NodeId};
 
 use crate::process::shards::lock;
-use crate::process::shared::Shared;
+use crate::process::shared::{News, Shared};
 use clients::Clients;
 
 /// Time for the last messages of a node that leaves.
@@ -38,6 +39,8 @@
     random: RefCell<ChaCha8Rng>,
     /// Peer that a configuration is being pulled from.
     pulling: Cell<bool>,
+    /// Suspects that ride on gossip messages.
+    suspects: RefCell<suspects::Outbox>,
 }
 
 impl<C: Clock, L: Log> Control<C, L> {
@@ -51,12 +54,13 @@
     shared: Arc<Shared<C>>,
     log: L,
     listener: std::net::TcpListener,
+    news: mpsc::UnboundedReceiver<News>,
     leave: watch::Receiver<bool>,
 ) -> std::io::Result<thread::JoinHandle<()>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let local = LocalSet::new();
-        local.block_on(&runtime, run(shared, log, listener, leave));
+        local.block_on(&runtime, run(shared, log, listener, news, leave));
     })
 }
 
@@ -64,6 +68,7 @@
     shared: Arc<Shared<C>>,
     log: L,
     listener: std::net::TcpListener,
+    news: mpsc::UnboundedReceiver<News>,
     mut leave: watch::Receiver<bool>,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
@@ -71,13 +76,15 @@
     let written = shared.metrics.control("sent");
     let seed = lock(&shared.table).own().incarnation.0;
     let control = Rc::new(Control {
-        clients: Clients::new(read, written),
+        clients: Clients::new(shared.settings.listen.control.ip(), read, written),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         pulling: Cell::new(false),
+        suspects: RefCell::default(),
         shared,
         log,
     });
     tokio::task::spawn_local(server::listen(control.clone(), listener));
+    tokio::task::spawn_local(suspects::keep_telling(control.clone(), news));
     join::once(&control).await;
     tokio::task::spawn_local(join::keep_in_touch(control.clone()));
     tokio::task::spawn_local(gossip::keep_probing(control.clone()));
@@ -94,6 +101,6 @@
         table.leave();
         table.own().clone()
     };
-    gossip::push(control, vec![own]).await;
+    gossip::push(control, vec![own], Vec::new()).await;
     join::record(control).await;
 }
--- a/components/node/src/control/clients.rs
+++ b/components/node/src/control/clients.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use capnp::Error;
@@ -16,6 +16,7 @@
 use tokio_util::compat::TokioAsyncReadCompatExt;
 use wire::control_capnp::peer;
 
+use crate::connection;
 use crate::connection::count::Counted;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -37,14 +38,15 @@
 /// Connections, opened when needed and kept for a while.
 pub struct Clients {
     entries: RefCell<HashMap<SocketAddr, Entry>>,
+    from: IpAddr,
     read: IntCounter,
     written: IntCounter,
 }
 
 impl Clients {
-    /// No connections; bytes are counted on these two counters.
-    pub fn new(read: IntCounter, written: IntCounter) -> Self {
-        Self { entries: RefCell::default(), read, written }
+    /// No connections; they will be made from the address `from`, and bytes counted on these two counters.
+    pub fn new(from: IpAddr, read: IntCounter, written: IntCounter) -> Self {
+        Self { entries: RefCell::default(), from, read, written }
     }
 
     /// A client of the node at `address`.
@@ -52,12 +54,7 @@
         if let Some(client) = self.open(address) {
             return Ok(client);
         }
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await
-        {
-            Ok(stream) => stream?,
-            Err(_) => return Err(Error::overloaded("connecting took too long".to_owned())),
-        };
-        stream.set_nodelay(true)?;
+        let stream = connection::connect(self.from, address, CONNECT_TIMEOUT).await?;
         let (reader, writer) = self.counted(stream).compat().split();
         let network = twoparty::VatNetwork::new(reader, writer, Side::Client, Default::default());
         let mut system = RpcSystem::new(Box::new(network), None);
--- a/components/node/src/control/gossip.rs
+++ b/components/node/src/control/gossip.rs
@@ -10,9 +10,12 @@
 use membership::{Change, Member, Status};
 use units::{Clock, DomainName, NodeId, Version};
 use wire::control_capnp::gossip as message;
-use wire::{Summary, read_members, read_summaries, write_members, write_summaries};
+use wire::{
+    Summary, read_members, read_summaries, read_suspects, write_members, write_summaries,
+    write_suspects,
+};
 
-use super::{Control, exchange, follow};
+use super::{Control, exchange, follow, suspects};
 use crate::process::shards::lock;
 
 /// Records on one message.
@@ -38,6 +41,8 @@
     pub digests: Vec<(DomainName, u64)>,
     /// Summaries of failure domains; on messages between them only.
     pub summaries: Vec<Summary>,
+    /// News of requests that kill upstreams.
+    pub suspects: Vec<quarantine::Told>,
 }
 
 impl Told {
@@ -52,6 +57,7 @@
             &self.summaries,
             out.reborrow().init_summaries(self.summaries.len() as u32),
         );
+        write_suspects(&self.suspects, out.reborrow().init_suspects(self.suspects.len() as u32));
         let mut digests = out.init_digests(self.digests.len() as u32);
         for (index, (domain, value)) in self.digests.iter().enumerate() {
             let mut digest = digests.reborrow().get(index as u32);
@@ -73,6 +79,7 @@
             members: read_members(input.get_members()?)?,
             digests: digests.collect::<Result<_, Error>>()?,
             summaries: read_summaries(input.get_summaries()?)?,
+            suspects: read_suspects(input.get_suspects()?)?,
         })
     }
 }
@@ -92,7 +99,14 @@
     let digests = table.digests().into_iter().collect();
     let (node, version) = (Some(own.node.clone()), own.version);
     members.push(own);
-    Told { node, version, members, digests, summaries: Vec::new() }
+    Told {
+        node,
+        version,
+        members,
+        digests,
+        summaries: Vec::new(),
+        suspects: control.suspects.borrow_mut().take(),
+    }
 }
 
 /// Sends a message and takes in the answer.
@@ -137,7 +151,7 @@
         changes.into_iter().filter(|change| change.urgent).map(|change| change.member).collect();
     if !urgent.is_empty() {
         let control = control.clone();
-        tokio::task::spawn_local(async move { push(&control, urgent).await });
+        tokio::task::spawn_local(async move { push(&control, urgent, Vec::new()).await });
     }
 }
 
@@ -151,7 +165,11 @@
 }
 
 /// Passes changes on at once: to a few members of this domain, and to the other domains from a delegate.
-pub async fn push<C: Clock, L: Log>(control: &Rc<Control<C, L>>, members: Vec<Member>) {
+pub async fn push<C: Clock, L: Log>(
+    control: &Rc<Control<C, L>>,
+    members: Vec<Member>,
+    suspects: Vec<quarantine::Told>,
+) {
     let to = {
         let table = lock(&control.shared.table);
         let mut random = control.random.borrow_mut();
@@ -174,7 +192,8 @@
         to
     };
     let own = lock(&control.shared.table).own().clone();
-    let told = Told { node: Some(own.node), version: own.version, members, ..Told::default() };
+    let told =
+        Told { node: Some(own.node), version: own.version, members, suspects, ..Told::default() };
     let patience = control.shared.settings.control.timeout;
     let all = to.iter().map(|address| tell(control, *address, &told, patience));
     future::join_all(all).await;
@@ -229,6 +248,7 @@
 /// Takes in an answer: records, a later configuration, and what the digests say is missing.
 pub async fn heard<C: Clock, L: Log>(control: &Rc<Control<C, L>>, from: SocketAddr, answer: Told) {
     take(control, answer.members);
+    suspects::take(control, answer.suspects);
     follow::catch_up(control, from, answer.version);
     exchange::reconcile(control, from, answer.digests).await;
 }
@@ -264,6 +284,6 @@
     loop {
         control.shared.changed.notified().await;
         let own = lock(&control.shared.table).own().clone();
-        push(&control, vec![own]).await;
+        push(&control, vec![own], Vec::new()).await;
     }
 }
--- a/components/node/src/control/join.rs
+++ b/components/node/src/control/join.rs
@@ -32,7 +32,8 @@
 pub async fn once<C: Clock, L: Log>(control: &Rc<Control<C, L>>) {
     let mut contacts = control.shared.settings.seeds.clone();
     contacts.extend(from_log(control).await);
-    contacts.retain(|address| *address != control.shared.settings.listen.control);
+    let own = lock(&control.shared.table).own().control;
+    contacts.retain(|address| *address != own);
     contacts.dedup();
     meet(control, &contacts).await;
     let control = control.clone();
@@ -41,7 +42,7 @@
 
 /// Asks a seed now and then, so that parts that have forgotten each other meet again.
 pub async fn keep_in_touch<C: Clock, L: Log>(control: Rc<Control<C, L>>) {
-    let own = control.shared.settings.listen.control;
+    let own = lock(&control.shared.table).own().control;
     loop {
         let alone =
             lock(&control.shared.table).all().filter(|member| member.is_present()).count() < 2;
--- a/components/node/src/control/server.rs
+++ b/components/node/src/control/server.rs
@@ -15,7 +15,7 @@
 use wire::{write_members, write_summaries};
 
 use super::gossip::{self, Told};
-use super::{Control, exchange, follow};
+use super::{Control, exchange, follow, suspects};
 use crate::process::shards::lock;
 
 /// Serves other nodes for ever.
@@ -52,6 +52,7 @@
         exchange::learn(control, std::mem::take(&mut told.summaries));
         let from = told.node.as_ref().and_then(|node| control_address(control, &told, node));
         gossip::take(control, told.members);
+        suspects::take(control, told.suspects);
         let mut answer = gossip::telling(control, None);
         if between {
             answer.summaries = lock(&control.shared.summaries).values().cloned().collect();
--- a/components/node/src/process/admin.rs
+++ b/components/node/src/process/admin.rs
@@ -35,7 +35,7 @@
     domain: DomainName,
     status: String,
     service: Option<ServiceName>,
-    draining: bool,
+    takes_work: bool,
     version: u64,
     incarnation: u64,
 }
@@ -111,7 +111,7 @@
         domain: member.domain.clone(),
         status: format!("{:?}", member.status).to_lowercase(),
         service: member.upstream.as_ref().map(|upstream| upstream.service.clone()),
-        draining: member.upstream.is_some() && !member.takes_work(),
+        takes_work: member.takes_work(),
         version: member.version.0,
         incarnation: member.incarnation.0,
     });
--- a/components/node/src/process/serve.rs
+++ b/components/node/src/process/serve.rs
@@ -128,7 +128,13 @@
     let body = Payload::answer(body, Default::default());
     let (mut response, trailer) = match guard::serve(shared, context, &head, body).await {
         Ok(answer) => (Response::from_parts(answer.head, answer.body), answer.trailer),
-        Err(Failed { refusal, trailer, .. }) => (entry::refuse(shared, refusal), trailer),
+        Err(Failed { refusal, trailer, lethal }) => {
+            let mut response = entry::refuse(shared, refusal);
+            if lethal {
+                headers::set(response.headers_mut(), headers::LETHAL, 1);
+            }
+            (response, trailer)
+        }
     };
     mark(shared, response.headers_mut(), trailer);
     response
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -9,11 +9,12 @@
 use journal::Fold;
 use limits::{Config, Learned};
 use membership::{Member, Serving, State, Status, Table};
+use quarantine::{Fingerprint, Told};
 use retries::Bucket;
 use routing::{Candidate, LinkBudget};
 use rules::ServiceRule;
-use settings::Settings;
-use tokio::sync::{Notify, watch};
+use settings::{LimitKind, Settings};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use units::{Clock, DomainName, Incarnation, ServiceName, Version};
 use wire::Summary;
 
@@ -33,6 +34,20 @@
 /// Time until a member that is gone is forgotten.
 const FORGET: Duration = Duration::from_secs(600);
 
+/// Slots of an upstream that is not limited, in experiments.
+const NO_LIMIT: u32 = 100_000;
+
+/// Longest time that the answer to a suspect waits until others know of it.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// News of a suspect on its way to other nodes.
+pub struct News {
+    /// The news.
+    pub told: Told,
+    /// Told when the first others know.
+    pub done: Option<oneshot::Sender<()>>,
+}
+
 /// The upstream beside this node, as it last announced itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Announced {
@@ -82,6 +97,11 @@
     pub changed: Notify,
     /// Set when the node stops.
     pub stopping: watch::Sender<bool>,
+    /// Requests that were there when an upstream died.
+    pub quarantine: Mutex<quarantine::Table>,
+    /// News of suspects for the control traffic to tell.
+    pub news: mpsc::UnboundedSender<News>,
+    epoch: AtomicU64,
     active: RwLock<Option<Arc<Active>>>,
     view: RwLock<Arc<View>>,
     announced: Mutex<Option<(Announced, Instant)>>,
@@ -92,16 +112,20 @@
 
 impl<C: Clock> Shared<C> {
     /// State of a process that has just started.
-    pub fn new(settings: Settings, clock: C) -> prometheus::Result<Self> {
+    pub fn new(
+        settings: Settings,
+        clock: C,
+        news: mpsc::UnboundedSender<News>,
+    ) -> prometheus::Result<Self> {
         let now = clock.now();
         let wall = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         let own = own_record(&settings, Incarnation(wall.as_millis() as u64));
         let config = membership::Config { suspicion: settings.control.suspicion, forget: FORGET };
         Ok(Self {
             metrics: Metrics::new()?,
-            gate: Gate::new(Config { slots: 1, queue: ServiceRule::default().queue }, now),
+            gate: Gate::new(unannounced(), now),
             calls: Shards::new(),
-            links: Links::new(clock.clone()),
+            links: Links::new(settings.listen.peers.ip(), clock.clone()),
             pool: Arc::new(Pool::new()),
             buckets: Shards::new(),
             learned: Shards::new(),
@@ -111,6 +135,9 @@
             asked: Mutex::default(),
             changed: Notify::new(),
             stopping: watch::Sender::new(false),
+            quarantine: Mutex::default(),
+            news,
+            epoch: AtomicU64::new(wall.as_millis() as u64),
             active: RwLock::new(None),
             view: RwLock::default(),
             announced: Mutex::new(None),
@@ -208,6 +235,47 @@
         lock(&self.announced).as_ref().map(|(announced, _)| announced.clone())
     }
 
+    /// Which life of the upstream this is.
+    pub fn epoch(&self) -> u64 {
+        self.epoch.load(Ordering::Relaxed)
+    }
+
+    /// The upstream died in this life; nothing is sent to it until it announces itself again.
+    pub fn upstream_died(&self, epoch: u64) {
+        if self
+            .epoch
+            .compare_exchange(epoch, epoch + 1, Ordering::Relaxed, Ordering::Relaxed)
+            .is_err()
+        {
+            return;
+        }
+        log::warn!(node = self.settings.node.as_str(); "the upstream died");
+        *lock(&self.announced) = None;
+        self.publish_upstream();
+    }
+
+    /// Whether a request is in quarantine.
+    pub fn is_held(&self, fingerprint: Fingerprint) -> bool {
+        self.settings.mechanisms.quarantine && lock(&self.quarantine).holds(fingerprint)
+    }
+
+    /// A request was answered: if it was a suspect, it is one no longer.
+    pub fn answered(&self, fingerprint: Fingerprint) {
+        if let Some(told) = lock(&self.quarantine).answered(fingerprint) {
+            // The control thread is gone only when the process ends.
+            let _ = self.news.send(News { told, done: None });
+        }
+    }
+
+    /// A request was there when the upstream died; returns when others know.
+    pub async fn suspect(&self, told: Told) {
+        lock(&self.quarantine).merge(&told, self.clock.now());
+        let (done, heard) = oneshot::channel();
+        if self.news.send(News { told, done: Some(done) }).is_ok() {
+            let _ = tokio::time::timeout(TELL_TIMEOUT, heard).await;
+        }
+    }
+
     /// Takes an announcement of the upstream.
     pub fn announce(&self, announced: Announced) {
         let now = self.clock.now();
@@ -283,11 +351,24 @@
         // One connection is left for load reports.
         let connections =
             rule.connections.unwrap_or(u32::MAX).min(announced.connections).saturating_sub(1);
-        Config { slots: slots.min(connections).max(1), queue: rule.queue }
+        let limit = self.settings.mechanisms.limit;
+        let slots = if limit == LimitKind::Off { NO_LIMIT } else { slots.min(connections).max(1) };
+        let levels = self.settings.mechanisms.levels;
+        Config { slots, queue: rule.queue, adaptive: limit == LimitKind::Adaptive, levels }
     }
 }
 
+/// What the guard goes by until the upstream announces itself.
+fn unannounced() -> Config {
+    Config { slots: 1, queue: ServiceRule::default().queue, adaptive: true, levels: true }
+}
+
 fn own_record(settings: &Settings, incarnation: Incarnation) -> Member {
+    let listen = (settings.listen.peers, settings.listen.control);
+    let (peers, control) = settings
+        .advertise
+        .as_ref()
+        .map_or(listen, |advertise| (advertise.peers, advertise.control));
     Member {
         node: settings.node.clone(),
         domain: settings.domain.clone(),
@@ -295,8 +376,8 @@
         incarnation,
         serial: 0,
         status: Status::Alive,
-        peers: settings.listen.peers,
-        control: settings.listen.control,
+        peers,
+        control,
         upstream: None,
         version: Version(0),
     }
--- a/components/node/src/process/start.rs
+++ b/components/node/src/process/start.rs
@@ -10,7 +10,7 @@
 use quick_error::quick_error;
 use settings::Settings;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use units::Clock;
 
@@ -82,7 +82,8 @@
     /// Starts a node: it listens when this returns.
     pub async fn start(settings: Settings, clock: C, log: impl Log) -> Result<Self, Error> {
         let listen = settings.listen.clone();
-        let shared = Arc::new(Shared::new(settings, clock)?);
+        let (news, told) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared::new(settings, clock, news)?);
         if let Some(active) = bootstrap(&shared)? {
             shared.activate(active);
         }
@@ -93,7 +94,7 @@
         let control = bind("control", listen.control).await?.into_std().map_err(Error::Control)?;
         let (outer, inner, leave) =
             (watch::Sender::new(false), watch::Sender::new(false), watch::Sender::new(false));
-        let control = control::spawn(shared.clone(), log, control, leave.subscribe())
+        let control = control::spawn(shared.clone(), log, control, told, leave.subscribe())
             .map_err(Error::Control)?;
         let serve = |side: Side, listener: TcpListener, stop: &watch::Sender<bool>| {
             tokio::spawn(serve::listen(shared.clone(), side, listener, stop.subscribe()))
--- a/components/node/src/request/attempt.rs
+++ b/components/node/src/request/attempt.rs
@@ -134,7 +134,7 @@
         if matches!(refusal.reason, Reason::Overloaded | Reason::Draining) {
             peer.refused(now);
         }
-        let lethal = refusal.reason == Reason::ConnectionLost;
+        let lethal = parts.headers.contains_key(&headers::LETHAL);
         return Err(Failed { refusal, trailer, lethal });
     }
     target.peer().answered(report, now.saturating_duration_since(started), now);
--- a/components/node/src/request/context.rs
+++ b/components/node/src/request/context.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use limits::Priority;
+use quarantine::Fingerprint;
 use retries::Allowance;
 use rules::Class;
 use units::{ParseError, RootId, ServiceName};
@@ -28,6 +29,8 @@
     pub idempotent: bool,
     /// Service that is called.
     pub service: ServiceName,
+    /// What it has in common with the same request sent again.
+    pub fingerprint: Fingerprint,
 }
 
 impl Context {
@@ -51,6 +54,7 @@
             depth: self.depth,
             idempotent: self.idempotent,
             service: self.service.clone(),
+            fingerprint: self.fingerprint,
         }
     }
 }
@@ -65,6 +69,7 @@
     depth: u8,
     idempotent: bool,
     service: ServiceName,
+    fingerprint: Fingerprint,
 }
 
 impl Header {
@@ -78,16 +83,17 @@
             depth: self.depth,
             idempotent: self.idempotent,
             service: self.service,
+            fingerprint: self.fingerprint,
         }
     }
 }
 
 impl fmt::Display for Header {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { root, class, micros, retries, depth, idempotent, service } = self;
+        let Self { root, class, micros, retries, depth, idempotent, service, fingerprint } = self;
         write!(
             out,
-            "1;{root};{class};{micros};{retries};{depth};{};{service}",
+            "1;{root};{class};{micros};{retries};{depth};{};{service};{fingerprint}",
             u8::from(*idempotent)
         )
     }
@@ -113,5 +119,6 @@
         depth: parts.next()?.parse().ok()?,
         idempotent: parts.next()? == "1",
         service: parts.next()?.parse().ok()?,
+        fingerprint: parts.next()?.parse().ok()?,
     })
 }
--- a/components/node/src/request/entry.rs
+++ b/components/node/src/request/entry.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use limits::Learned;
+use quarantine::Fingerprint;
 use retries::{Account, Allowance, Bucket, Choice, Failure, Stop};
 use rules::{CallRule, Class};
 use units::{Clock, RootId};
@@ -27,6 +28,8 @@
 
 const VIA: &str = "almondknot";
 const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+/// Retries of each hop when the allowance is switched off.
+const NAIVE_RETRIES: usize = 3;
 /// Longest pause before a retry.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -57,7 +60,7 @@
     request: Request<Incoming>,
 ) -> Response<Payload<C>> {
     let (parts, body) = request.into_parts();
-    let (call, active) = match plan(&shared, source, parts) {
+    let (mut call, active) = match plan(&shared, source, parts) {
         Ok(planned) => planned,
         Err(refusal) => return refuse(&shared, refusal),
     };
@@ -66,6 +69,10 @@
         Ok(body) => body,
         Err(err) => return refuse(&shared, unreadable(&shared, &err)),
     };
+    call.context.fingerprint = fingerprint(&call.head, &body);
+    if shared.is_held(call.context.fingerprint) {
+        return refuse(&shared, quarantined(&shared));
+    }
     let tried = match call.parent {
         Some(parent) => below(&shared, &active, &call, parent, body).await,
         None => root(&shared, &active, &call, body).await,
@@ -73,6 +80,23 @@
     finish(&shared, &call, tried)
 }
 
+/// A key names a request whatever its body; without one the same call with the same body counts as the same.
+fn fingerprint<C: Clock>(head: &Head, body: &Kept<C>) -> Fingerprint {
+    if let Some(key) = head.headers.get(headers::KEY) {
+        return Fingerprint::of_key(key.as_bytes());
+    }
+    let bytes = match body {
+        Kept::Whole(bytes) => bytes.as_ref(),
+        Kept::Once(_) => &[],
+    };
+    Fingerprint::of_request(head.method.as_str(), head.path.as_str(), bytes)
+}
+
+/// An earlier try of the request may have run before its upstream died.
+fn quarantined<C: Clock>(shared: &Shared<C>) -> Refusal {
+    Refusal::new(Verdict::MayHaveRun, Reason::Quarantined, &shared.settings.node).exhausted()
+}
+
 /// Finds the rule and draws up the context.
 fn plan<C: Clock>(
     shared: &Arc<Shared<C>>,
@@ -138,6 +162,7 @@
         depth: parent.context.depth + 1,
         idempotent: rule.idempotent,
         service: rule.service.clone(),
+        fingerprint: Fingerprint::default(),
     })
 }
 
@@ -156,6 +181,7 @@
         depth: 0,
         idempotent: rule.idempotent,
         service: rule.service.clone(),
+        fingerprint: Fingerprint::default(),
     }
 }
 
@@ -189,7 +215,8 @@
     let now = shared.clock.now();
     let priority = call.context.priority();
     let fresh = || Learned::new(now);
-    if !shared.learned.with_or(call.key, fresh, |learned| learned.admits(priority, now)) {
+    let admitted = shared.learned.with_or(call.key, fresh, |learned| learned.admits(priority, now));
+    if !admitted && shared.settings.mechanisms.levels {
         let refusal = Refusal::not_run(Reason::ShedEarly, &shared.settings.node);
         return Err(Failed::new(refusal.retry_after(shared.gate.retry_after()).exhausted()));
     }
@@ -255,9 +282,11 @@
         account.settle(lent, trailer.returned);
         learn(trailer);
         let Some(failure) = failure else { return tried };
-        let choice = shared
-            .buckets
-            .with(service.clone(), |bucket| retries::decide(failure, account, bucket));
+        let choice = if shared.settings.mechanisms.allowance {
+            shared.buckets.with(service.clone(), |bucket| retries::decide(failure, account, bucket))
+        } else {
+            Some(naive(seen.len(), failure))
+        };
         match choice {
             Some(Choice::Retry) => shared.metrics.retry("retry"),
             Some(Choice::Stop(stop)) => {
@@ -271,6 +300,15 @@
     }
 }
 
+/// What a plain client library does: the baseline of experiments.
+fn naive(retries: usize, failure: Failure) -> Choice {
+    if retries < NAIVE_RETRIES && failure.replayable && failure.left > Duration::ZERO {
+        Choice::Retry
+    } else {
+        Choice::Stop(Stop::Allowance)
+    }
+}
+
 /// Whoever is above has less to try with than this node had.
 fn exhaust(mut failed: Failed) -> Failed {
     failed.refusal.exhausted = true;
--- a/components/node/src/request/guard.rs
+++ b/components/node/src/request/guard.rs
@@ -5,6 +5,7 @@
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Request};
 use limits::{Offer, Refused};
+use quarantine::{Death, Told};
 use units::Clock;
 use verdict::{Reason, Refusal, Verdict};
 
@@ -15,6 +16,7 @@
 use super::hold::{Hold, Run};
 use super::parent::{Parent, Token};
 use crate::connection::peers::SendError;
+use crate::connection::upstream::Pool;
 use crate::process::gate::Entry;
 use crate::process::shared::{Announced, Shared};
 
@@ -31,7 +33,12 @@
     else {
         return Err(unrun(shared, &context, Reason::NoUpstream));
     };
+    if shared.is_held(context.fingerprint) {
+        let refusal = Refusal::new(Verdict::MayHaveRun, Reason::Quarantined, &shared.settings.node);
+        return Err(Failed::new(refusal.exhausted()));
+    }
     admit(shared, &context, token).await?;
+    let epoch = shared.epoch();
     shared.calls.insert(token, Parent::new(context.clone()));
     let run = Run::new(shared.clone(), token);
     let Some(request) = request(shared, &context, token, &announced, head, body) else {
@@ -42,9 +49,14 @@
     let (response, lane) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(SendError::Unsent(_))) => return Err(unrun(shared, &context, Reason::Unreachable)),
-        Ok(Err(SendError::Lost(_))) => return Err(lost(shared, token, Reason::ConnectionLost)),
+        Ok(Err(SendError::Lost(_))) => {
+            return Err(broken(shared, &context, token, &announced, epoch, head).await);
+        }
         Err(_) => return Err(lost(shared, token, Reason::Deadline)),
     };
+    if !response.status().is_server_error() {
+        shared.answered(context.fingerprint);
+    }
     Ok(answer(
         shared,
         token,
@@ -100,7 +112,28 @@
 fn lost<C: Clock>(shared: &Shared<C>, token: Token, reason: Reason) -> Failed {
     shared.metrics.refusal(reason, Verdict::MayHaveRun);
     let refusal = Refusal::new(Verdict::MayHaveRun, reason, &shared.settings.node);
-    Failed { refusal, trailer: trailer(shared, token), lethal: reason == Reason::ConnectionLost }
+    Failed { refusal, trailer: trailer(shared, token), lethal: false }
+}
+
+/// The connection broke while the request ran. If the upstream is gone, the request is a suspect, and others hear of
+/// it before its caller does and can send it again.
+async fn broken<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    context: &Context,
+    token: Token,
+    announced: &Announced,
+    epoch: u64,
+    head: &Head,
+) -> Failed {
+    let mut failed = lost(shared, token, Reason::ConnectionLost);
+    failed.lethal = Pool::<C>::is_gone(announced.address).await;
+    if failed.lethal {
+        shared.upstream_died(epoch);
+        let death = Some(Death { node: shared.settings.node.clone(), epoch });
+        let call = format!("{} {}", head.method, head.path.path());
+        shared.suspect(Told { fingerprint: context.fingerprint, death, call }).await;
+    }
+    failed
 }
 
 fn answer<C: Clock>(
--- a/components/node/src/request/headers.rs
+++ b/components/node/src/request/headers.rs
@@ -13,6 +13,8 @@
 pub const RETURNED: HeaderName = HeaderName::from_static("almondknot-returned");
 /// Nobody above should retry.
 pub const EXHAUSTED: HeaderName = HeaderName::from_static("almondknot-exhausted");
+/// The upstream died while it ran the request.
+pub const LETHAL: HeaderName = HeaderName::from_static("almondknot-lethal");
 /// Whether the request may have run.
 pub const VERDICT: HeaderName = HeaderName::from_static("almondknot-verdict");
 /// Why there is no answer.
@@ -26,6 +28,9 @@
 /// W3C baggage, which ties a call to the request it is made for.
 pub const BAGGAGE: HeaderName = HeaderName::from_static("baggage");
 
+/// Key that names a request however often it is sent.
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -38,8 +43,8 @@
     header::TRANSFER_ENCODING,
     header::UPGRADE,
 ];
-const OWN: [HeaderName; 9] =
-    [CONTEXT, REPORT, LEVEL, RETURNED, EXHAUSTED, VERDICT, REASON, REFUSED_BY, CLASS];
+const OWN: [HeaderName; 10] =
+    [CONTEXT, REPORT, LEVEL, RETURNED, EXHAUSTED, LETHAL, VERDICT, REASON, REFUSED_BY, CLASS];
 
 /// Removes headers that concern one connection only (RFC 9110, section 7.6.1).
 pub fn strip_hop(headers: &mut HeaderMap) {
@@ -64,7 +69,7 @@
 
 /// Removes what only nodes need from an answer to a caller or an upstream.
 pub fn strip_internal(headers: &mut HeaderMap) {
-    for name in [&REPORT, &LEVEL, &RETURNED, &EXHAUSTED] {
+    for name in [&REPORT, &LEVEL, &RETURNED, &EXHAUSTED, &LETHAL] {
         headers.remove(name);
     }
 }
--- /dev/null
+++ b/components/quarantine/src/fingerprint.rs
@@ -0,0 +1,49 @@
+//! What makes two requests the same request, sent again.
+
+use std::fmt;
+use std::str;
+
+use units::ParseError;
+use xxhash_rust::xxh3::Xxh3;
+
+units::value! {
+    #[derive(Default)]
+    /// Hash of what a resent request has in common with the first.
+    pub struct Fingerprint(pub u64);
+}
+
+impl Fingerprint {
+    /// Fingerprint of a request with an idempotency key.
+    pub fn of_key(key: &[u8]) -> Self {
+        Self::hash(&[b"key", key])
+    }
+
+    /// Fingerprint of a request without a key.
+    pub fn of_request(method: &str, path: &str, body: &[u8]) -> Self {
+        Self::hash(&[method.as_bytes(), path.as_bytes(), body])
+    }
+
+    fn hash(parts: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.digest())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{:016x}", self.0)
+    }
+}
+
+impl str::FromStr for Fingerprint {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let wrong =
+            |_| ParseError::Expected(text.to_owned(), "a hexadecimal number of up to 16 digits");
+        u64::from_str_radix(text, 16).map(Self).map_err(wrong)
+    }
+}
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -9,4 +9,6 @@
 
 pub use check::together;
 pub use file::{Error, parse, read};
-pub use model::{Bounds, Control, Listen, LogSource, Settings, VERSION};
+pub use model::{
+    Advertise, Bounds, Control, LimitKind, Listen, LogSource, Mechanisms, Settings, VERSION,
+};
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -22,6 +22,9 @@
         pub region: RegionName,
         /// Addresses to listen on.
         pub listen: Listen,
+        /// Addresses that other nodes reach this one by, where they are not those it listens on.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub advertise: Option<Advertise>,
         /// Control addresses of some other nodes, to find the rest by.
         #[serde(default)]
         pub seeds: Vec<SocketAddr>,
@@ -37,6 +40,9 @@
         /// Pace of the control traffic between nodes.
         #[serde(default)]
         pub control: Control,
+        /// Mechanisms that an experiment switches off.
+        #[serde(default)]
+        pub mechanisms: Mechanisms,
         /// Bearer token of the administration API.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub token: Option<String>,
@@ -56,6 +62,14 @@
         pub admin: SocketAddr,
     }
 
+    /// Addresses that other nodes reach a node by.
+    pub struct Advertise {
+        /// For calls.
+        pub peers: SocketAddr,
+        /// For control traffic.
+        pub control: SocketAddr,
+    }
+
     /// Where the platform's log is.
     pub struct LogSource {
         /// Address of its HTTP service.
@@ -85,6 +99,31 @@
         pub stop: Duration,
     }
 
+    /// Mechanisms that an experiment switches off to see what each is worth; all are on in production.
+    #[serde(default)]
+    pub struct Mechanisms {
+        /// How the number of requests that run at once is found.
+        pub limit: LimitKind,
+        /// Trees are refused early by the admission level of the chain.
+        pub levels: bool,
+        /// Retries draw on the root's allowance; otherwise each hop tries three more times.
+        pub allowance: bool,
+        /// Requests that kill upstreams are kept from the next one.
+        pub quarantine: bool,
+    }
+
+    /// How the number of requests that run at once is found.
+    #[derive(Copy)]
+    #[serde(rename_all = "kebab-case")]
+    pub enum LimitKind {
+        /// From the announced slots and measured times.
+        Adaptive,
+        /// The announced slots.
+        Static,
+        /// There is no limit.
+        Off,
+    }
+
     /// Pace of the control traffic between nodes.
     #[serde(default)]
     pub struct Control {
@@ -114,6 +153,12 @@
     }
 }
 
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Self { limit: LimitKind::Adaptive, levels: true, allowance: true, quarantine: true }
+    }
+}
+
 impl Default for Control {
     fn default() -> Self {
         Self {
--- a/components/standins/src/bin/relay.rs
+++ b/components/standins/src/bin/relay.rs
@@ -1,51 +1,59 @@
-//! Program of the link stand-in.
+//! Program of the network stand-in.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use clap::Parser;
 use poem::web::{Data, Json};
-use poem::{EndpointExt, Route, get, handler, post};
-use standins::relay::{Link, Relay};
+use poem::{EndpointExt, Route as Path, get, handler, post};
+use serde::Deserialize;
+use standins::relay::{Change, Passed, Relay, Route};
 use standins::serve;
 use tokio::net::TcpListener;
 
-/// Stand-in of a network link: delays, caps and cuts TCP connections.
+/// Stand-in of the network between failure domains: delays, caps and cuts TCP connections.
 #[derive(Parser)]
 struct Args {
-    /// Address to take connections on.
+    /// File with the places, routes and links in JSON.
     #[arg(long)]
-    listen: SocketAddr,
-    /// Address to pass them on to.
-    #[arg(long)]
-    to: SocketAddr,
+    network: PathBuf,
     /// Address of the control endpoint.
     #[arg(long)]
     control: SocketAddr,
-    /// One-way delay in milliseconds.
-    #[arg(long, default_value_t = 0)]
-    delay: u64,
-    /// Bytes a second each way; no cap at zero.
-    #[arg(long, default_value_t = 0)]
-    cap: u64,
+}
+
+#[derive(Deserialize)]
+struct Network {
+    places: HashMap<String, String>,
+    routes: Vec<Route>,
+    links: Vec<Change>,
 }
 
 #[handler]
-fn set_link(relay: Data<&Relay>, Json(link): Json<Link>) {
-    relay.set(link);
+fn set_links(relay: Data<&Relay>, Json(changes): Json<Vec<Change>>) {
+    for change in &changes {
+        relay.set(change);
+    }
 }
 
 #[handler]
-fn passed(relay: Data<&Relay>) -> String {
-    relay.passed().to_string()
+fn passed(relay: Data<&Relay>) -> Json<Vec<Passed>> {
+    Json(relay.passed())
 }
 
-#[tokio::main(flavor = "current_thread")]
+#[tokio::main(worker_threads = 2)]
 async fn main() -> std::io::Result<()> {
     let args = Args::parse();
-    let relay = Relay::new(Link { delay: args.delay, cap: args.cap, ..Link::default() });
-    let listener = TcpListener::bind(args.listen).await?;
-    tokio::spawn(relay.clone().run(listener, args.to));
-    let service =
-        Route::new().at("/control", post(set_link)).at("/passed", get(passed)).data(relay);
+    let network: Network = serde_json::from_str(&std::fs::read_to_string(&args.network)?)?;
+    let relay = Relay::new(network.places);
+    for change in &network.links {
+        relay.set(change);
+    }
+    for route in network.routes {
+        let listener = TcpListener::bind(route.listen).await?;
+        tokio::spawn(relay.clone().run(listener, route.to));
+    }
+    let service = Path::new().at("/links", post(set_links)).at("/passed", get(passed)).data(relay);
     serve::until(args.control, service, serve::stop_signal()).await
 }
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! test or a person can switch a fault on while it runs.
 
 pub mod client;
+pub mod cluster;
 pub mod log;
 pub mod relay;
 pub mod serve;
--- a/components/standins/src/upstream/chain.rs
+++ b/components/standins/src/upstream/chain.rs
@@ -12,11 +12,13 @@
 /// Headers that tie a call to the request it is made for, and the request's own id.
 const FORWARDED: [&str; 2] = ["baggage", "standin-id"];
 
-/// A call made for each request, such as `GET:/stock`.
+/// A call made for each request, such as `GET:/stock`, or for some, such as `GET:/stock@/prices`.
 #[derive(Debug, Clone)]
 pub struct Child {
     method: http::Method,
     path: String,
+    /// Path prefix of the requests that it is made for.
+    only: String,
 }
 
 impl str::FromStr for Child {
@@ -24,14 +26,20 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let wrong = || format!("`{text}` is not METHOD:/path");
         let (method, path) = text.split_once(':').ok_or_else(wrong)?;
-        Ok(Self { method: method.parse().map_err(|_| wrong())?, path: path.to_owned() })
+        let (path, only) = path.split_once('@').unwrap_or((path, "/"));
+        let method = method.parse().map_err(|_| wrong())?;
+        Ok(Self { method, path: path.to_owned(), only: only.to_owned() })
     }
 }
 
 /// Makes every call, one after the other; `None` when one has no whole answer.
-pub async fn call_all(upstream: &Upstream, headers: &http::HeaderMap) -> Option<Vec<Value>> {
+pub async fn call_all(
+    upstream: &Upstream,
+    path: &str,
+    headers: &http::HeaderMap,
+) -> Option<Vec<Value>> {
     let mut answers = Vec::new();
-    for child in &upstream.plan.children {
+    for child in upstream.plan.children.iter().filter(|child| path.starts_with(&child.only)) {
         answers.push(call(upstream, child, headers).await?);
     }
     Some(answers)
--- a/components/standins/src/upstream/faults.rs
+++ b/components/standins/src/upstream/faults.rs
@@ -10,6 +10,8 @@
     pub slow: f64,
     /// Refuse what would have to wait for a slot.
     pub shed: bool,
+    /// Share of requests that are refused, by a hash of their id.
+    pub refuse: f64,
     /// Announce that it takes no more work.
     pub drain: bool,
     /// Report this many busy slots, whatever the truth.
@@ -27,6 +29,7 @@
         Self {
             slow: 1.0,
             shed: false,
+            refuse: 0.0,
             drain: false,
             lie: None,
             lag: false,
--- a/components/standins/src/upstream/handle.rs
+++ b/components/standins/src/upstream/handle.rs
@@ -22,10 +22,13 @@
 #[handler]
 pub async fn call(upstream: Data<&Arc<Upstream>>, request: &Request, body: poem::Body) -> Response {
     let upstream = &**upstream;
-    lock(&upstream.witness).arrived += 1;
+    lock(&upstream.witness).arrive(request.header("standin-id"));
     let Ok(body) = body.into_bytes_limit(LARGEST_BODY).await else {
         return refuse(upstream, StatusCode::BAD_REQUEST);
     };
+    if chance(request) < lock(&upstream.faults).refuse {
+        return refuse(upstream, StatusCode::SERVICE_UNAVAILABLE);
+    }
     let Some(_slot) = slot(upstream, request).await else {
         return refuse(upstream, StatusCode::SERVICE_UNAVAILABLE);
     };
@@ -36,12 +39,13 @@
     let id = request.header("standin-id");
     let at = upstream.started.elapsed().as_millis() as u64;
     lock(&upstream.witness).start(id, request.header("idempotency-key"), at);
-    let mut held = Held { upstream, since: Instant::now(), finished: false };
+    let mut held = Held { upstream, id, since: Instant::now(), worked: None, finished: false };
     if request.header("standin-crash").is_some() && lock(&upstream.faults).crash {
         std::process::exit(CRASH_CODE);
     }
     tokio::time::sleep(service_time(upstream)).await;
-    let children = chain::call_all(upstream, request.headers()).await;
+    held.worked = Some(held.since.elapsed());
+    let children = chain::call_all(upstream, request.uri().path(), request.headers()).await;
     held.finished = true;
     let Some(children) = children else {
         lock(&upstream.witness).failed += 1;
@@ -78,6 +82,14 @@
     }
 }
 
+/// A number from 0 to 1 that differs from try to try of a request, and from run to run not at all.
+fn chance(request: &Request) -> f64 {
+    let text = request.header("baggage").unwrap_or_default();
+    let mut hasher = std::hash::DefaultHasher::new();
+    std::hash::Hash::hash(text, &mut hasher);
+    std::hash::Hasher::finish(&hasher) as f64 / u64::MAX as f64
+}
+
 /// Half of the time is fixed and half is exponentially distributed.
 fn service_time(upstream: &Upstream) -> Duration {
     let uniform: f64 = lock(&upstream.random).random();
@@ -114,14 +126,22 @@
 /// A run in its slot; dropped unfinished when the caller leaves.
 struct Held<'a> {
     upstream: &'a Upstream,
+    id: Option<&'a str>,
     since: Instant,
+    /// Time until it began to call others.
+    worked: Option<Duration>,
     finished: bool,
 }
 
 impl Drop for Held<'_> {
     fn drop(&mut self) {
+        let held = self.since.elapsed();
+        let worked = self.worked.unwrap_or(held);
         let mut witness = lock(&self.upstream.witness);
-        witness.held += self.since.elapsed().as_micros() as u64;
+        witness.held += held.as_micros() as u64;
+        if let Some(id) = self.id {
+            *witness.work.entry(id.to_owned()).or_default() += worked.as_micros() as u64;
+        }
         witness.cancelled += u64::from(!self.finished);
     }
 }
--- a/components/standins/src/upstream/witness.rs
+++ b/components/standins/src/upstream/witness.rs
@@ -23,6 +23,10 @@
     pub held: u64,
     /// Runs by the request id of the caller.
     pub runs: BTreeMap<String, u32>,
+    /// Arrivals by the request id of the caller.
+    pub arrivals: BTreeMap<String, u32>,
+    /// Microseconds of work, without the time spent waiting for others, by the request id of the caller.
+    pub work: BTreeMap<String, u64>,
     /// Runs by idempotency key.
     pub keys: BTreeMap<String, u32>,
     /// Milliseconds after the start of the process at which the last run started.
@@ -30,6 +34,14 @@
 }
 
 impl Witness {
+    /// Counts an arrival.
+    pub fn arrive(&mut self, id: Option<&str>) {
+        self.arrived += 1;
+        if let Some(id) = id {
+            *self.arrivals.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+
     /// Counts the start of a run.
     pub fn start(&mut self, id: Option<&str>, key: Option<&str>, at: u64) {
         self.started += 1;
--- a/components/verdict/src/reason.rs
+++ b/components/verdict/src/reason.rs
@@ -56,6 +56,8 @@
     UpstreamRefused = "upstream-refused", 503, "The upstream refused the request.";
     /// The connection was lost after the request was sent.
     ConnectionLost = "connection-lost", 502, "The connection was lost before the whole answer came.";
+    /// The request killed two upstreams.
+    Quarantined = "quarantined", 422, "The request is in quarantine: upstreams died while they ran it.";
     /// Calls are nested too deep.
     TooDeep = "too-deep", 508, "Calls are nested too deep.";
     /// The node has no configuration yet.
--- a/components/wire/schema/control.capnp
+++ b/components/wire/schema/control.capnp
@@ -31,9 +31,10 @@
 
 struct Suspect {
   fingerprint @0 :UInt64;
-  deaths @1 :UInt32;
-  rule @2 :Text;
-  seen @3 :UInt64;
+  node @1 :Text;
+  epoch @2 :UInt64;
+  call @3 :Text;
+  cleared @4 :Bool;
 }
 
 struct Gossip {
--- a/components/wire/src/control_capnp.rs
+++ b/components/wire/src/control_capnp.rs
@@ -1258,26 +1258,34 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_deaths(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
-        }
-        #[inline]
-        pub fn get_rule(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_node(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_rule(&self) -> bool {
+        pub fn has_node(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_seen(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_epoch(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_call(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_call(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_cleared(self) -> bool {
+            self.reader.get_bool_field(128)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1336,36 +1344,52 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_deaths(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
-        }
-        #[inline]
-        pub fn set_deaths(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
-        }
-        #[inline]
-        pub fn get_rule(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_node(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_rule(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_node(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_rule(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_node(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_rule(&self) -> bool {
+        pub fn has_node(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_seen(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_epoch(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_seen(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_epoch(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_call(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_call(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_call(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_call(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_cleared(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_cleared(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
         }
     }
 
@@ -1378,52 +1402,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(197, 126, 27, 89, 122, 128, 90, 220),
             ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(93, 231, 32, 76, 169, 243, 182, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 83, 117),
             ::capnp::word(115, 112, 101, 99, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
             ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1433,15 +1464,23 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 101, 97, 116, 104, 115, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 100, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 117, 108, 101, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1449,21 +1488,22 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1477,9 +1517,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,2,0,1];
         pub(crate) const TYPE_ID: u64 = 0xdc5a_807a_591b_7ec5;
     }
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod control_capnp;
 mod convert;
 mod summary;
+mod suspect;
 
 pub use convert::{read_member, read_members, write_member, write_members};
 pub use summary::{Summary, read_summaries, write_summaries};
+pub use suspect::{read_suspects, write_suspects};
--- /dev/null
+++ b/components/wire/src/suspect.rs
@@ -0,0 +1,37 @@
+//! Suspects on the wire.
+
+use capnp::struct_list;
+use quarantine::{Death, Fingerprint, Told};
+
+use crate::control_capnp::suspect;
+use crate::convert::parse;
+
+/// Writes a list of suspects.
+pub fn write_suspects(suspects: &[Told], mut out: struct_list::Builder<'_, suspect::Owned>) {
+    for (index, from) in suspects.iter().enumerate() {
+        let mut to = out.reborrow().get(index as u32);
+        to.set_fingerprint(from.fingerprint.0);
+        to.set_call(from.call.as_str());
+        match &from.death {
+            Some(death) => {
+                to.set_node(death.node.as_str());
+                to.set_epoch(death.epoch);
+            }
+            None => to.set_cleared(true),
+        }
+    }
+}
+
+/// Reads a list of suspects.
+pub fn read_suspects(input: struct_list::Reader<'_, suspect::Owned>) -> capnp::Result<Vec<Told>> {
+    input.iter().map(read).collect()
+}
+
+fn read(input: suspect::Reader<'_>) -> capnp::Result<Told> {
+    let death = match input.get_cleared() {
+        true => None,
+        false => Some(Death { node: parse(input.get_node()?)?, epoch: input.get_epoch() }),
+    };
+    let call = input.get_call()?.to_str()?.to_owned();
+    Ok(Told { fingerprint: Fingerprint(input.get_fingerprint()), death, call })
+}
