--- /dev/null
+++ b/components/bench/src/slopes.rs
@@ -0,0 +1,165 @@
+//! Cost of the decisions alone, in process: nanoseconds an event and bytes of state.
+
+use std::hint::black_box;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use limits::{Config, Guard, Offer, Priority};
+use membership::{Member, Serving, State, Status, Table};
+use quarantine::Fingerprint;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use retries::{Account, Allowance, Bucket, Failure};
+use routing::{Candidate, Tier};
+use units::{Clock, Incarnation, ManualClock, RootId, SystemClock, Version};
+
+use crate::system::Setup;
+use crate::table;
+
+const EVENTS: u32 = 200_000;
+const SIZES: [usize; 3] = [200, 600, 1_800];
+const SERVICES: usize = 150;
+const DOMAINS: usize = 18;
+
+/// Prints the costs.
+pub fn run(_: &Setup) -> io::Result<()> {
+    table::head("Decisions in process", &["decision", "ns an event"]);
+    for (name, nanos) in
+        [("admit and finish", guard()), ("retry", retry()), ("route among 16", route())]
+    {
+        table::row(&[name.to_owned(), format!("{nanos:.0}")]);
+    }
+    for rules in [50, 500] {
+        table::row(&[format!("match one of {rules} rules"), format!("{:.0}", find(rules))]);
+    }
+    table::head(
+        "Membership in process",
+        &["members", "merge ns", "digests us", "own domain's records", "bytes a record"],
+    );
+    for size in SIZES {
+        membership(size);
+    }
+    Ok(())
+}
+
+fn timed(events: u32, mut event: impl FnMut(u32)) -> f64 {
+    let started: Instant = SystemClock.now();
+    for number in 0..events {
+        event(number);
+    }
+    started.elapsed().as_nanos() as f64 / f64::from(events)
+}
+
+fn guard() -> f64 {
+    let clock = ManualClock::new();
+    let config =
+        Config { slots: 40, queue: Duration::from_millis(50), adaptive: true, levels: true };
+    let mut guard: Guard<u32> = Guard::new(config, clock.now());
+    let mut out = Vec::new();
+    timed(EVENTS, |number| {
+        clock.advance(Duration::from_micros(100));
+        let now = clock.now();
+        let priority = Priority::new(2, RootId(u64::from(number)));
+        let offer =
+            Offer { key: number, priority, deadline: now + Duration::from_secs(1), root: true };
+        black_box(guard.offer(offer, now, &mut out));
+        guard.finish(Duration::from_millis(1), Duration::from_millis(1), now, &mut out);
+        out.clear();
+    })
+}
+
+fn retry() -> f64 {
+    let (mut account, mut bucket) = (Account::new(Allowance(2)), Bucket::new());
+    let failure = Failure {
+        unrun: true,
+        idempotent: false,
+        replayable: true,
+        exhausted: false,
+        lethal: false,
+        left: Duration::from_secs(1),
+        least: Duration::from_millis(1),
+    };
+    timed(EVENTS, |_| {
+        bucket.first_try(0.1);
+        let lent = account.lend();
+        account.settle(lent, lent);
+        black_box(retries::decide(failure, &mut account, &mut bucket));
+    })
+}
+
+fn route() -> f64 {
+    let candidate = |index: usize| Candidate {
+        tier: Tier::Domain,
+        score: index as f64,
+        full: false,
+        shunned: false,
+    };
+    let candidates: Vec<Candidate> = (0..16).map(candidate).collect();
+    let mut step = 0;
+    timed(EVENTS, |_| {
+        let random = |count: usize| {
+            step += 7;
+            step % count
+        };
+        black_box(routing::choose(&candidates, true, random));
+    })
+}
+
+fn find(rules: usize) -> f64 {
+    let text: String =
+        (0..rules).map(|index| format!("call GET /path{index} to s{index} # bench\n")).collect();
+    let Ok(set) = rules::parse(&text) else { return f64::NAN };
+    timed(EVENTS, |number| {
+        let path = if number % 2 == 0 { "/path7/x" } else { "/path49" };
+        black_box(set.find(&Default::default(), path));
+        black_box(Fingerprint::of_request("GET", path, b""));
+    })
+}
+
+fn member(index: usize) -> Option<Member> {
+    let address: SocketAddr = format!("127.{}.{}.1:8003", index / 250, index % 250).parse().ok()?;
+    Some(Member {
+        node: format!("node-{index}").parse().ok()?,
+        domain: format!("domain-{}", index % DOMAINS).parse().ok()?,
+        region: format!("region-{}", index % DOMAINS % 7).parse().ok()?,
+        incarnation: Incarnation(1),
+        serial: 1,
+        status: Status::Alive,
+        peers: address,
+        control: address,
+        upstream: Some(Serving {
+            service: format!("service-{}", index % SERVICES).parse().ok()?,
+            slots: 40,
+            state: State::Serving,
+        }),
+        version: Version(1),
+    })
+}
+
+fn membership(size: usize) {
+    let members: Vec<Member> = (0..size).filter_map(member).collect();
+    let now = SystemClock.now();
+    let config =
+        membership::Config { suspicion: Duration::from_secs(2), forget: Duration::from_secs(600) };
+    let mut table = Table::new(members[0].clone(), config);
+    let merge = timed(1, |_| {
+        table.merge(members.iter().cloned(), now);
+    }) / size as f64;
+    let digests = timed(100, |_| {
+        black_box(table.digests());
+    }) / 1e3;
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    black_box(table.probe(&mut random));
+    let own = table.of_domain(&members[0].domain).len();
+    // Names are shared between records; each has one of its own beside the fixed part, twice for the map's key.
+    let bytes =
+        size_of::<Member>() + 2 * size_of::<units::NodeId>() + members[0].node.as_str().len() + 16;
+    table::row(&[
+        size.to_string(),
+        format!("{merge:.0}"),
+        format!("{digests:.0}"),
+        own.to_string(),
+        bytes.to_string(),
+    ]);
+}
