Work the admission level out from demand and capacity instead of stepping it

Cause: with the stepped level (DAGOR's) the guards of the Dala example swung between a full queue and idle slots about once in 1.2 s (status sampled every 0.3 s): the entries heed a level some 100 ms after the guard sets it, and the guard went on raising it meanwhile. Ruled out: the concurrency limit, which stood at 10 of 10 all the time.

--- a/components/limits/src/guard.rs
+++ b/components/limits/src/guard.rs
@@ -158,7 +158,6 @@
     ) {
         let full = self.running >= self.limit.get(now);
         self.account(now);
-        self.level.finished();
         self.limit.sample(own, full, now);
         let weight = if self.held == 0.0 { 1.0 } else { HELD_WEIGHT };
         self.held += (held.as_secs_f64() - self.held) * weight;
@@ -278,6 +277,6 @@
 
     fn account(&mut self, now: Instant) {
         let limit = self.limit.get(now);
-        self.level.account(self.running, limit, now);
+        self.level.account(self.running, limit, self.held, now);
     }
 }
--- a/components/limits/src/level.rs
+++ b/components/limits/src/level.rs
@@ -1,38 +1,64 @@
 //! Admission level of one upstream: the priority below which new trees are refused at once.
 //!
-//! The level rides on every answer, so that entries refuse early what this upstream would refuse late. It follows
-//! DAGOR (Zhou et al., SoCC 2018) with two changes. How far it rises comes from the arrivals counted by priority
-//! and the share that could be served. How far it falls doubles with each window that leaves room, so that nothing
-//! holds requests back once the load is gone.
+//! The level rides on every answer, so that entries refuse early what this upstream would refuse late, as in DAGOR
+//! (Zhou et al., SoCC 2018). DAGOR moves its level up and down by steps, and with the delay between a guard and the
+//! entries that heed it the steps overshoot. Here the level is worked out anew in each window from the demand and the
+//! capacity. Within a class priorities are spread evenly, so the arrivals above a level, which entries let through
+//! whatever they have learned, tell how many there would be below it. What that misjudges is corrected by a factor
+//! that follows the use of the upstream.
 
 use std::time::{Duration, Instant};
 
 use crate::priority::Priority;
 
 const WINDOW: Duration = Duration::from_millis(100);
-const BUCKETS: usize = 96;
-const BUCKET: u16 = Priority::END / BUCKETS as u16;
-/// Least and most of the arrivals that one rise may leave.
-const RISE: (f64, f64) = (0.5, 0.98);
-/// Use of the limit under which the level falls.
+const RANKS: usize = Priority::RANKS as usize;
+const RANK_SIZE: u16 = Priority::END / Priority::RANKS;
+/// Windows in which entries may still go by an earlier level.
+const DELAY: usize = 6;
+/// Weight of one window in the demand.
+const WEIGHT: f64 = 0.2;
+/// Least part of a rank above the level from which its demand can be told.
+const VISIBLE: f64 = 0.02;
+/// Use of the limit under which more is admitted.
 const ROOM: f64 = 0.97;
-/// Use of the limit under which the fall doubles from window to window.
-const AMPLE: f64 = 0.85;
-const LARGEST_FALL: u16 = Priority::END / 3;
+const MORE: f64 = 1.03;
+/// Use of the limit under which much more is admitted.
+const AMPLE: f64 = 0.8;
+const MUCH_MORE: f64 = 1.2;
+const LESS: f64 = 0.98;
+const FACTORS: (f64, f64) = (0.85, 100.0);
 
 /// The admission level and what it is worked out from.
 #[derive(Debug, Clone)]
 pub struct Level {
     value: u16,
-    fall: u16,
+    /// Levels of the last windows.
+    recent: [u16; DELAY],
+    /// Demand a second, for each rank as a whole.
+    demand: [f64; RANKS],
+    /// Requests a second that the upstream can do.
+    capacity: f64,
+    factor: f64,
+    window: Window,
+    touched: Instant,
+}
+
+#[derive(Debug, Clone)]
+struct Window {
     since: Instant,
-    arrivals: [u32; BUCKETS],
-    finished: u32,
+    /// Arrivals of each rank above all recent levels.
+    arrivals: [u32; RANKS],
     refused: u32,
     /// Busy slot-seconds and slot-seconds of the limit.
     used: f64,
     offered: f64,
-    touched: Instant,
+}
+
+impl Window {
+    fn new(since: Instant) -> Self {
+        Self { since, arrivals: [0; RANKS], refused: 0, used: 0.0, offered: 0.0 }
+    }
 }
 
 impl Level {
@@ -40,13 +66,11 @@
     pub fn new(now: Instant) -> Self {
         Self {
             value: 0,
-            fall: BUCKET,
-            since: now,
-            arrivals: [0; BUCKETS],
-            finished: 0,
-            refused: 0,
-            used: 0.0,
-            offered: 0.0,
+            recent: [0; DELAY],
+            demand: [0.0; RANKS],
+            capacity: f64::INFINITY,
+            factor: 1.0,
+            window: Window::new(now),
             touched: now,
         }
     }
@@ -63,72 +87,86 @@
 
     /// Counts an arrival.
     pub fn arrived(&mut self, priority: Priority) {
-        let bucket = usize::from(priority.0 / BUCKET).min(BUCKETS - 1);
-        self.arrivals[bucket] += 1;
-    }
-
-    /// Counts a finished request.
-    pub fn finished(&mut self) {
-        self.finished += 1;
+        if priority.0 >= self.floor() {
+            self.window.arrivals[rank(priority.0)] += 1;
+        }
     }
 
     /// Counts a request that the queue refused.
     pub fn refused(&mut self) {
-        self.refused += 1;
+        self.window.refused += 1;
     }
 
-    /// Accounts for the use of the limit up to now; called before each change of it.
-    pub fn account(&mut self, running: u32, limit: u32, now: Instant) {
+    /// Accounts for the use of the limit up to now; called before each change of it. `held` is the mean time a
+    /// request holds a slot, in seconds, and 0 when it isn't known.
+    pub fn account(&mut self, running: u32, limit: u32, held: f64, now: Instant) {
         let span = now.saturating_duration_since(self.touched).as_secs_f64();
         self.touched = self.touched.max(now);
-        self.used += f64::from(running) * span;
-        self.offered += f64::from(limit) * span;
-        if now.saturating_duration_since(self.since) >= WINDOW {
-            self.close(now);
+        self.window.used += f64::from(running) * span;
+        self.window.offered += f64::from(limit) * span;
+        self.capacity = if held > 0.0 { f64::from(limit) / held } else { f64::INFINITY };
+        let span = now.saturating_duration_since(self.window.since);
+        if span >= WINDOW {
+            self.close(span, now);
         }
     }
 
-    fn close(&mut self, now: Instant) {
-        let usage = if self.offered > 0.0 { self.used / self.offered } else { 0.0 };
-        if self.refused > 0 {
-            self.rise();
-        } else if usage < ROOM {
-            self.sink(usage);
+    fn close(&mut self, span: Duration, now: Instant) {
+        let window = std::mem::replace(&mut self.window, Window::new(now));
+        let floor = self.floor();
+        for (rank, arrivals) in window.arrivals.iter().enumerate() {
+            let visible = visible(rank, floor);
+            if visible >= VISIBLE {
+                let demand = f64::from(*arrivals) / span.as_secs_f64() / visible;
+                self.demand[rank] += (demand - self.demand[rank]) * WEIGHT;
+            }
         }
-        self.since = now;
-        self.arrivals = [0; BUCKETS];
-        (self.finished, self.refused) = (0, 0);
-        (self.used, self.offered) = (0.0, 0.0);
+        self.correct(&window);
+        self.value = self.worked_out();
+        self.recent.rotate_right(1);
+        self.recent[0] = self.value;
     }
 
-    /// Rises to where the arrivals above are the share that could be served.
-    fn rise(&mut self) {
-        self.fall = BUCKET;
-        let first = usize::from(self.value / BUCKET).min(BUCKETS - 1);
-        let admitted: u32 = self.arrivals[first..].iter().sum();
-        if admitted == 0 {
-            return;
+    fn correct(&mut self, window: &Window) {
+        let usage = if window.offered > 0.0 { window.used / window.offered } else { 0.0 };
+        let change = match () {
+            () if window.refused > 0 => LESS,
+            () if self.value == 0 => 1.0,
+            () if usage < AMPLE => MUCH_MORE,
+            () if usage < ROOM => MORE,
+            () => 1.0,
+        };
+        self.factor = (self.factor * change).clamp(FACTORS.0, FACTORS.1);
+        if self.value == 0 {
+            self.factor = self.factor.min(1.0);
         }
-        let share = (f64::from(admitted.saturating_sub(self.refused)) / f64::from(admitted))
-            .clamp(RISE.0, RISE.1);
-        let mut excess = f64::from(admitted) * (1.0 - share);
-        let mut value = self.value;
-        for (bucket, count) in self.arrivals.iter().enumerate().skip(first) {
-            let end = (bucket as u16 + 1) * BUCKET;
-            let count = f64::from(*count);
-            if count < excess {
-                excess -= count;
-                value = end;
-                continue;
+    }
+
+    /// The level above which the demand is what the upstream can do.
+    fn worked_out(&self) -> u16 {
+        let mut room = self.capacity * self.factor;
+        for (rank, demand) in self.demand.iter().enumerate().rev() {
+            if *demand > room {
+                let end = (rank as u16 + 1) * RANK_SIZE;
+                return end - (f64::from(RANK_SIZE) * room / demand) as u16;
             }
-            value += (f64::from(end - value) * excess / count.max(1.0)) as u16;
-            break;
+            room -= demand;
         }
-        self.value = value.min(Priority::END - 1);
+        0
     }
 
-    fn sink(&mut self, usage: f64) {
-        self.value = self.value.saturating_sub(self.fall);
-        self.fall = if usage < AMPLE { (self.fall * 2).min(LARGEST_FALL) } else { BUCKET };
+    /// The level that every entry lets pass, whichever of the recent ones it goes by.
+    fn floor(&self) -> u16 {
+        self.recent.iter().copied().max().unwrap_or_default()
     }
 }
+
+fn rank(priority: u16) -> usize {
+    usize::from(priority / RANK_SIZE).min(RANKS - 1)
+}
+
+/// Share of a rank's priorities that is above a level.
+fn visible(rank: usize, floor: u16) -> f64 {
+    let (start, end) = (rank as u16 * RANK_SIZE, (rank as u16 + 1) * RANK_SIZE);
+    f64::from(end.saturating_sub(floor.max(start))) / f64::from(RANK_SIZE)
+}
