Steer the admission level by the queue, and let calls of started trees wait longer

Cause: the level was corrected by refusals, so slots idled until the next one (8 or 9 of 10 busy in a third of the samples). The factor now follows the mean queue. Calls of started trees go before roots of their class and may wait three times as long, as shedding them wastes the work above.

--- a/components/limits/src/guard.rs
+++ b/components/limits/src/guard.rs
@@ -6,8 +6,10 @@
 use crate::level::Level;
 use crate::limit::Limit;
 use crate::priority::Priority;
-use crate::queue::{Queue, Waiting};
+use crate::queue::{Queue, Rank, Waiting};
 
+/// Time that a call of a started tree may wait, as a multiple of that of a root request.
+const STARTED_PATIENCE: u32 = 3;
 /// Weight of one request in the mean time a slot is held.
 const HELD_WEIGHT: f64 = 0.05;
 
@@ -137,7 +139,7 @@
         if self.config.levels && offer.root && !self.level.admits(offer.priority) {
             return Decision::Refuse(Refused::Level);
         }
-        if offer.deadline <= now + self.expected(offer.priority, now) {
+        if offer.deadline <= now + self.expected(&offer, now) {
             self.level.refused();
             return Decision::Refuse(Refused::Deadline);
         }
@@ -223,16 +225,19 @@
     }
 
     fn enqueue(&mut self, offer: Offer<K>, now: Instant, out: &mut Vec<Outcome<K>>) -> Decision {
+        let rank = Rank::of(&offer);
         if self.queue.len() >= self.room(now) {
-            let Some(shed) = self.queue.shed_under(offer.priority) else {
+            let Some(shed) = self.queue.shed_under(rank) else {
                 self.level.refused();
                 return Decision::Refuse(Refused::Full);
             };
             self.level.refused();
             out.push(Outcome::Refuse(shed.key, Refused::Full));
         }
-        let until = offer.deadline.min(now + self.config.queue);
-        self.queue.push(Waiting { key: offer.key, priority: offer.priority, until });
+        // Work was done for a tree that has started, so its calls may wait longer.
+        let patience = if offer.root { self.config.queue } else { self.config.queue * STARTED_PATIENCE };
+        let until = offer.deadline.min(now + patience);
+        self.queue.push(Waiting { key: offer.key, rank, until });
         Decision::Wait
     }
 
@@ -246,10 +251,10 @@
             as usize
     }
 
-    /// Time until a request of this priority would be done.
-    fn expected(&self, priority: Priority, now: Instant) -> Duration {
+    /// Time until a request would be done.
+    fn expected(&self, offer: &Offer<K>, now: Instant) -> Duration {
         let free = self.running < self.limit.get(now);
-        let ahead = if free { 0 } else { self.queue.ahead(priority) + 1 };
+        let ahead = if free { 0 } else { self.queue.ahead(Rank::of(offer)) + 1 };
         let turns = ahead as f64 / f64::from(self.limit.get(now));
         Duration::from_secs_f64(self.held * (0.5 + turns))
     }
@@ -277,6 +282,7 @@
 
     fn account(&mut self, now: Instant) {
         let limit = self.limit.get(now);
-        self.level.account(self.running, limit, self.held, now);
+        let waiting = self.queue.len() as u32;
+        self.level.account(self.running, waiting, limit, self.held, now);
     }
 }
--- a/components/limits/src/level.rs
+++ b/components/limits/src/level.rs
@@ -17,17 +17,19 @@
 /// Windows in which entries may still go by an earlier level.
 const DELAY: usize = 6;
 /// Weight of one window in the demand.
-const WEIGHT: f64 = 0.2;
+const WEIGHT: f64 = 0.1;
+/// Weight of the window in which the queue first overflows.
+const ONSET_WEIGHT: f64 = 0.7;
 /// Least part of a rank above the level from which its demand can be told.
 const VISIBLE: f64 = 0.02;
-/// Use of the limit under which more is admitted.
-const ROOM: f64 = 0.97;
-const MORE: f64 = 1.03;
-/// Use of the limit under which much more is admitted.
+/// Requests that wait on the mean, as a share of the limit: enough that no slot idles for want of work.
+const WAITING: f64 = 0.4;
+/// Change of the factor in a window for each part of the limit that waits too little or too much.
+const GAIN: f64 = 0.04;
+/// Use of the limit under which the load is gone, and the change that answers it.
 const AMPLE: f64 = 0.8;
 const MUCH_MORE: f64 = 1.2;
-const LESS: f64 = 0.98;
-const FACTORS: (f64, f64) = (0.85, 100.0);
+const FACTORS: (f64, f64) = (0.5, 100.0);
 
 /// The admission level and what it is worked out from.
 #[derive(Debug, Clone)]
@@ -53,11 +55,13 @@
     /// Busy slot-seconds and slot-seconds of the limit.
     used: f64,
     offered: f64,
+    /// Seconds that requests waited.
+    waited: f64,
 }
 
 impl Window {
     fn new(since: Instant) -> Self {
-        Self { since, arrivals: [0; RANKS], refused: 0, used: 0.0, offered: 0.0 }
+        Self { since, arrivals: [0; RANKS], refused: 0, used: 0.0, offered: 0.0, waited: 0.0 }
     }
 }
 
@@ -99,11 +103,12 @@
 
     /// Accounts for the use of the limit up to now; called before each change of it. `held` is the mean time a
     /// request holds a slot, in seconds, and 0 when it isn't known.
-    pub fn account(&mut self, running: u32, limit: u32, held: f64, now: Instant) {
+    pub fn account(&mut self, running: u32, waiting: u32, limit: u32, held: f64, now: Instant) {
         let span = now.saturating_duration_since(self.touched).as_secs_f64();
         self.touched = self.touched.max(now);
         self.window.used += f64::from(running) * span;
         self.window.offered += f64::from(limit) * span;
+        self.window.waited += f64::from(waiting) * span;
         self.capacity = if held > 0.0 { f64::from(limit) / held } else { f64::INFINITY };
         let span = now.saturating_duration_since(self.window.since);
         if span >= WINDOW {
@@ -114,11 +119,13 @@
     fn close(&mut self, span: Duration, now: Instant) {
         let window = std::mem::replace(&mut self.window, Window::new(now));
         let floor = self.floor();
+        let onset = self.value == 0 && window.refused > 0;
+        let weight = if onset { ONSET_WEIGHT } else { WEIGHT };
         for (rank, arrivals) in window.arrivals.iter().enumerate() {
             let visible = visible(rank, floor);
             if visible >= VISIBLE {
                 let demand = f64::from(*arrivals) / span.as_secs_f64() / visible;
-                self.demand[rank] += (demand - self.demand[rank]) * WEIGHT;
+                self.demand[rank] += (demand - self.demand[rank]) * weight;
             }
         }
         self.correct(&window);
@@ -128,18 +135,14 @@
     }
 
     fn correct(&mut self, window: &Window) {
-        let usage = if window.offered > 0.0 { window.used / window.offered } else { 0.0 };
-        let change = match () {
-            () if window.refused > 0 => LESS,
-            () if self.value == 0 => 1.0,
-            () if usage < AMPLE => MUCH_MORE,
-            () if usage < ROOM => MORE,
-            () => 1.0,
-        };
-        self.factor = (self.factor * change).clamp(FACTORS.0, FACTORS.1);
-        if self.value == 0 {
-            self.factor = self.factor.min(1.0);
+        if self.value == 0 || window.offered == 0.0 {
+            self.factor = 1.0;
+            return;
         }
+        let usage = window.used / window.offered;
+        let waiting = window.waited / window.offered;
+        let change = if usage < AMPLE { MUCH_MORE } else { 1.0 + GAIN * (WAITING - waiting).max(-1.0) };
+        self.factor = (self.factor * change).clamp(FACTORS.0, FACTORS.1);
     }
 
     /// The level above which the demand is what the upstream can do.
--- a/components/limits/src/priority.rs
+++ b/components/limits/src/priority.rs
@@ -21,6 +21,11 @@
     /// One above the highest priority.
     pub const END: u16 = Self::RANKS << HASH_BITS;
 
+    /// Class that it belongs to, from 0.
+    pub fn class(self) -> u16 {
+        self.0 >> HASH_BITS
+    }
+
     /// Priority of the calls of one root request.
     pub fn new(rank: u8, root: RootId) -> Self {
         let mixed = (root.0 ^ (root.0 >> 30)).wrapping_mul(MIX);
--- a/components/limits/src/queue.rs
+++ b/components/limits/src/queue.rs
@@ -1,22 +1,42 @@
-//! Short queue in front of an upstream, ordered by priority and then by arrival.
+//! Short queue in front of an upstream, ordered by class, then calls of started trees first, then priority.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::hash::Hash;
 use std::time::Instant;
 
+use crate::guard::Offer;
 use crate::priority::Priority;
 
-/// Place of a waiting request: the highest priority and then the oldest is the last in the order.
-type Place = (Priority, Reverse<u64>);
+/// Place of a waiting request: the highest rank and then the oldest is the last in the order.
+type Place = (Rank, Reverse<u64>);
+
+units::value! {
+    /// What decides who is served next and who is shed.
+    pub struct Rank {
+        /// Class of the root request.
+        class: u16,
+        /// The call belongs to a tree that has started: shedding it would waste the work done so far.
+        started: bool,
+        /// Priority within the class.
+        priority: Priority,
+    }
+}
+
+impl Rank {
+    /// Rank of an offer.
+    pub fn of<K>(offer: &Offer<K>) -> Self {
+        Self { class: offer.priority.class(), started: !offer.root, priority: offer.priority }
+    }
+}
 
 /// A request that waits.
 #[derive(Debug, Clone)]
 pub struct Waiting<K> {
     /// Who waits.
     pub key: K,
-    /// Its priority.
-    pub priority: Priority,
+    /// Its rank.
+    pub rank: Rank,
     /// Until when it may wait.
     pub until: Instant,
 }
@@ -40,14 +60,14 @@
         self.order.len()
     }
 
-    /// Number of requests that would be served before one of this priority.
-    pub fn ahead(&self, priority: Priority) -> usize {
-        self.order.range((priority, Reverse(u64::MAX))..).count()
+    /// Number of requests that would be served before one of this rank.
+    pub fn ahead(&self, rank: Rank) -> usize {
+        self.order.range((rank, Reverse(u64::MAX))..).count()
     }
 
     /// Adds a request.
     pub fn push(&mut self, waiting: Waiting<K>) {
-        let place = (waiting.priority, Reverse(self.next));
+        let place = (waiting.rank, Reverse(self.next));
         self.next += 1;
         self.places.insert(waiting.key, place);
         self.order.insert(place, waiting);
@@ -60,9 +80,9 @@
         Some(waiting)
     }
 
-    /// Takes out the request to shed next, if its priority is under `priority`.
-    pub fn shed_under(&mut self, priority: Priority) -> Option<Waiting<K>> {
-        let entry = self.order.first_entry().filter(|entry| entry.get().priority < priority)?;
+    /// Takes out the request to shed next, if its rank is under `rank`.
+    pub fn shed_under(&mut self, rank: Rank) -> Option<Waiting<K>> {
+        let entry = self.order.first_entry().filter(|entry| entry.get().rank < rank)?;
         let waiting = entry.remove();
         self.places.remove(&waiting.key);
         Some(waiting)
