Refuse early at the first hop what its own calls met, and end a window early on overflow

Cause of the waste at 5x: in the first 0.3 s of a surge the catalogs start some 800 trees that the warehouse then refuses (502 count against the surge's start). A guard now refuses roots by the level its upstream's calls met, and a level is set 30 ms after the queue first overflows.

--- a/components/bench/src/added.rs
+++ b/components/bench/src/added.rs
@@ -6,7 +6,7 @@
 use standins::cluster::{Cluster, Place, Vm};
 
 use crate::control::{cpu, resident};
-use crate::system::{Setup, mix, must};
+use crate::system::{self, Setup, mix, must};
 use crate::table::{self, verdict};
 
 const RATES: [f64; 3] = [100.0, 500.0, 1_500.0];
@@ -47,7 +47,7 @@
         let timeout = Duration::from_secs(2);
         let plan =
             load::Experiment { seed: setup.seed, entries, timeout, mixes: vec![direct, through] };
-        let summaries = load::run(&plan).await;
+        let summaries = system::play(&plan).await;
         let spent = cpu(&mut cluster, "node-entry")? + cpu(&mut cluster, "node-guard")? - before;
         let ms = |index: usize, at: usize| summaries[index].latency[at] as f64 / 1e3;
         let added = ms(1, 2) - ms(0, 2);
--- a/components/bench/src/cross.rs
+++ b/components/bench/src/cross.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use crate::system::{Example, Setup, Variant, experiment, mix};
+use crate::system::{self, Example, Setup, Variant, experiment, mix};
 use crate::table;
 
 const END: u64 = 20;
@@ -26,7 +26,7 @@
         mix("prices", "GET", "/prices", &[(END, rate * 0.4)]),
         mix("stock", "GET", "/stock", &[(END, rate * 0.2)]),
     ];
-    let summaries = load::run(&experiment(&cluster, setup, "warehouse", mixes)).await;
+    let summaries = system::play(&experiment(&cluster, setup, "warehouse", mixes)).await;
     let after = crossing().await;
     let mut remote = 0;
     for vm in cluster.vms() {
--- a/components/bench/src/drain.rs
+++ b/components/bench/src/drain.rs
@@ -5,7 +5,7 @@
 
 use standins::upstream::Faults;
 
-use crate::system::{Example, Setup, Variant, experiment, mix, must};
+use crate::system::{self, Example, Setup, Variant, experiment, mix, must};
 use crate::table::{self, verdict};
 
 const END: u64 = 8;
@@ -29,7 +29,7 @@
         cluster.fault(&leaving, &Faults { drain: true, ..Faults::default() }).await;
         before
     };
-    let (summaries, before) = tokio::join!(load::run(&plan), switch);
+    let (summaries, before) = tokio::join!(system::play(&plan), switch);
     let after = cluster.witness(&leaving).await;
     let (Some(before), Some(after)) = (before, after) else {
         return must(false, "the upstream is gone");
--- a/components/bench/src/overload.rs
+++ b/components/bench/src/overload.rs
@@ -5,7 +5,7 @@
 
 use load::{Bucket, Summary};
 
-use crate::system::{Example, Setup, Variant, experiment, mix, wasted, witnesses};
+use crate::system::{self, Example, Setup, Variant, experiment, mix, wasted, witnesses};
 use crate::table::{self, percent, verdict};
 
 /// Seconds at which the surge starts and ends, and the experiment ends.
@@ -83,7 +83,7 @@
         ],
     };
     let scarce = if example == Example::Dala { "warehouse" } else { "pricing" };
-    let summaries = load::run(&experiment(&cluster, setup, scarce, mixes)).await;
+    let summaries = system::play(&experiment(&cluster, setup, scarce, mixes)).await;
     let lost: HashSet<String> =
         summaries.iter().flat_map(|summary| summary.lost.iter().cloned()).collect();
     let line = together(&summaries);
--- a/components/bench/src/poison.rs
+++ b/components/bench/src/poison.rs
@@ -5,7 +5,7 @@
 
 use load::Phase;
 
-use crate::system::{Example, Setup, experiment, mix, must};
+use crate::system::{self, Example, Setup, experiment, mix, must};
 use crate::table::{self, percent, verdict};
 
 const BOUND: usize = 2;
@@ -32,7 +32,7 @@
         let mut plan = experiment(&cluster, setup, "pricing", vec![others, poison]);
         // The gap of one microsecond holds one arrival with the seeds that are used; it is checked below.
         plan.timeout = Duration::from_secs(4);
-        let summaries = load::run(&plan).await;
+        let summaries = system::play(&plan).await;
         must(summaries[1].requests >= 1, "the seed gave no poison request")?;
         let mut lost = 0;
         for vm in cluster.vms().to_vec() {
--- a/components/bench/src/slow.rs
+++ b/components/bench/src/slow.rs
@@ -5,7 +5,7 @@
 
 use standins::upstream::Faults;
 
-use crate::system::{Example, Setup, experiment, mix};
+use crate::system::{self, Example, Setup, experiment, mix};
 use crate::table::{self, percent, verdict};
 
 const BOUND: f64 = 0.98;
@@ -35,7 +35,7 @@
                 cluster.fault(vm, &Faults { slow: SLOW, ..Faults::default() }).await;
             }
         };
-        let (summaries, ()) = tokio::join!(load::run(&plan), switch);
+        let (summaries, ()) = tokio::join!(system::play(&plan), switch);
         let during = |index: usize| {
             let line =
                 &summaries[index].line[(BEFORE as usize * 10).min(summaries[index].line.len())..];
--- a/components/bench/src/system.rs
+++ b/components/bench/src/system.rs
@@ -210,6 +210,15 @@
     Experiment { seed: setup.seed, entries, timeout: Duration::from_secs(4), mixes }
 }
 
+/// Runs an experiment; with `BENCH_VERBOSE` set, prints what became of the requests.
+pub async fn play(plan: &Experiment) -> Vec<load::Summary> {
+    let summaries = load::run(plan).await;
+    if std::env::var_os("BENCH_VERBOSE").is_some() {
+        eprint!("{}", load::text(&summaries));
+    }
+    summaries
+}
+
 /// What every upstream saw.
 pub async fn witnesses(cluster: &Cluster) -> Vec<(Vm, Witness)> {
     let mut all = Vec::new();
--- a/components/bench/src/tree.rs
+++ b/components/bench/src/tree.rs
@@ -7,7 +7,7 @@
 use standins::cluster::{Cluster, Place, Vm};
 use standins::upstream::Faults;
 
-use crate::system::{Setup, Variant, experiment, mix, must, witnesses};
+use crate::system::{self, Setup, Variant, experiment, mix, must, witnesses};
 use crate::table::{self, verdict};
 
 const DEPTHS: [u8; 4] = [2, 5, 10, 20];
@@ -89,7 +89,7 @@
     let mut plan = experiment(&cluster, setup, "", mixes);
     plan.entries.truncate(1);
     plan.timeout = Duration::from_secs(8);
-    let summaries = load::run(&plan).await;
+    let summaries = system::play(&plan).await;
     let mut retries: BTreeMap<String, u32> = BTreeMap::new();
     let levels = witnesses(&cluster).await;
     for (index, (_, witness)) in levels.iter().enumerate() {
--- a/components/limits/src/level.rs
+++ b/components/limits/src/level.rs
@@ -18,12 +18,15 @@
 const DELAY: usize = 6;
 /// Weight of one window in the demand.
 const WEIGHT: f64 = 0.1;
+/// Refusals that end a window early, and the least it lasts then.
+const ONSET_REFUSALS: u32 = 3;
+const ONSET_WINDOW: Duration = Duration::from_millis(30);
 /// Weight of the window in which the queue first overflows.
 const ONSET_WEIGHT: f64 = 0.7;
 /// Least part of a rank above the level from which its demand can be told.
 const VISIBLE: f64 = 0.02;
 /// Requests that wait on the mean, as a share of the limit: enough that no slot idles for want of work.
-const WAITING: f64 = 0.4;
+const WAITING: f64 = 0.8;
 /// Change of the factor in a window for each part of the limit that waits too little or too much.
 const GAIN: f64 = 0.04;
 /// Use of the limit under which the load is gone, and the change that answers it.
@@ -111,7 +114,8 @@
         self.window.waited += f64::from(waiting) * span;
         self.capacity = if held > 0.0 { f64::from(limit) / held } else { f64::INFINITY };
         let span = now.saturating_duration_since(self.window.since);
-        if span >= WINDOW {
+        let overflow = self.value == 0 && self.window.refused >= ONSET_REFUSALS && span >= ONSET_WINDOW;
+        if span >= WINDOW || overflow {
             self.close(span, now);
         }
     }
--- a/components/limits/src/limit.rs
+++ b/components/limits/src/limit.rs
@@ -8,7 +8,9 @@
 use std::time::{Duration, Instant};
 
 const WINDOW: Duration = Duration::from_millis(250);
-const WINDOW_SAMPLES: u32 = 20;
+/// Samples from which a change of throughput can be told, and from which a limit that was not reached may grow.
+const TRIAL_SAMPLES: u32 = 100;
+const GROWTH_SAMPLES: u32 = 5;
 /// Own time, over the least seen, at which a lower limit is worth a try.
 const INFLATED: f64 = 1.5;
 /// Part of the limit that is left in a try.
@@ -21,7 +23,7 @@
 /// Windows until the next try after one that was not kept.
 const HOLD: u32 = 20;
 /// Busy windows after which a lower limit is tried even where nothing looks inflated.
-const PERIODIC: u32 = 32;
+const PERIODIC: u32 = 80;
 /// Growth of the least own time a window, so that it follows a lasting change.
 const FORGET: f64 = 1.002;
 /// Time that a load report of the upstream holds the cap down.
@@ -124,7 +126,7 @@
         self.window.full += u32::from(full);
         self.window.time += own.as_secs_f64();
         let span = now.saturating_duration_since(self.window.since);
-        if span >= WINDOW && self.window.samples >= WINDOW_SAMPLES {
+        if span >= WINDOW && self.window.samples >= self.wanted() {
             self.close(span, now);
         }
     }
@@ -136,6 +138,11 @@
         }
     }
 
+    fn wanted(&self) -> u32 {
+        let full = self.window.full * 2 >= self.window.samples;
+        if full && self.state != State::Ramp { TRIAL_SAMPLES } else { GROWTH_SAMPLES }
+    }
+
     fn close(&mut self, span: Duration, now: Instant) {
         let window = std::mem::replace(&mut self.window, Window::new(now));
         let mean = window.time / f64::from(window.samples);
--- a/components/node/src/process/serve.rs
+++ b/components/node/src/process/serve.rs
@@ -126,9 +126,11 @@
     parts.headers.remove(&headers::CONTEXT);
     let head = Head { method: parts.method, path, headers: parts.headers };
     let body = Payload::answer(body, Default::default());
+    let mut exhausted = false;
     let (mut response, trailer) = match guard::serve(shared, context, &head, body).await {
         Ok(answer) => (Response::from_parts(answer.head, answer.body), answer.trailer),
         Err(Failed { refusal, trailer, lethal }) => {
+            exhausted = refusal.exhausted;
             let mut response = entry::refuse(shared, refusal);
             if lethal {
                 headers::set(response.headers_mut(), headers::LETHAL, 1);
@@ -136,7 +138,7 @@
             (response, trailer)
         }
     };
-    mark(shared, response.headers_mut(), trailer);
+    mark(shared, response.headers_mut(), Trailer { exhausted: trailer.exhausted || exhausted, ..trailer });
     response
 }
 
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -85,6 +85,8 @@
     pub buckets: Shards<ServiceName, Bucket>,
     /// Admission levels by rule.
     pub learned: Shards<u64, Learned>,
+    /// Admission levels of what this upstream calls, by rule.
+    pub below: Shards<u64, Learned>,
     /// Members; changed by the control traffic.
     pub table: Mutex<Table>,
     /// The configuration as read from the log or a peer.
@@ -129,6 +131,7 @@
             pool: Arc::new(Pool::new()),
             buckets: Shards::new(),
             learned: Shards::new(),
+            below: Shards::new(),
             table: Mutex::new(Table::new(own, config)),
             fold: Mutex::default(),
             summaries: Mutex::default(),
--- a/components/node/src/request/entry.rs
+++ b/components/node/src/request/entry.rs
@@ -124,15 +124,17 @@
     if context.depth > shared.settings.bounds.depth {
         return Err(not_run(Reason::TooDeep));
     }
-    let key = xxh3::xxh3_64_with_seed(
-        rule.path.as_bytes(),
-        xxh3::xxh3_64(parts.method.as_str().as_bytes()),
-    );
+    let key = rule_key(&rule, &parts.method);
     let head =
         Head { method: parts.method, path, headers: clean(source, parts.headers, &parts.uri) };
     Ok((Call { context, parent, rule, key, head }, active))
 }
 
+/// Names a rule in what is learned about its calls; the same in every version that has the rule.
+pub fn rule_key(rule: &CallRule, method: &http::Method) -> u64 {
+    xxh3::xxh3_64_with_seed(rule.path.as_bytes(), xxh3::xxh3_64(method.as_str().as_bytes()))
+}
+
 /// The request of the upstream that a call is made for. One that has ended makes the call pointless.
 fn parent<C: Clock>(
     shared: &Shared<C>,
--- a/components/node/src/request/guard.rs
+++ b/components/node/src/request/guard.rs
@@ -4,7 +4,7 @@
 
 use http::header::{self, HeaderValue};
 use http::{HeaderMap, Request};
-use limits::{Offer, Refused};
+use limits::{Learned, Offer, Refused};
 use quarantine::{Death, Told};
 use units::Clock;
 use verdict::{Reason, Refusal, Verdict};
@@ -12,6 +12,7 @@
 use super::attempt::{Answer, Failed, Head, Trailer, Tried};
 use super::body::Payload;
 use super::context::Context;
+use super::entry;
 use super::headers;
 use super::hold::{Hold, Run};
 use super::parent::{Parent, Token};
@@ -37,6 +38,10 @@
         let refusal = Refusal::new(Verdict::MayHaveRun, Reason::Quarantined, &shared.settings.node);
         return Err(Failed::new(refusal.exhausted()));
     }
+    let key = below_key(shared, head);
+    if sheds_below(shared, &context, key) {
+        return Err(shed(shared, &context, key));
+    }
     admit(shared, &context, token).await?;
     let epoch = shared.epoch();
     shared.calls.insert(token, Parent::new(context.clone()));
@@ -57,6 +62,7 @@
     if !response.status().is_server_error() {
         shared.answered(context.fingerprint);
     }
+    learn_below(shared, token, key);
     Ok(answer(
         shared,
         token,
@@ -96,11 +102,37 @@
     }
 }
 
+fn below_key<C: Clock>(shared: &Shared<C>, head: &Head) -> u64 {
+    let active = shared.active();
+    let rule = active.as_ref().and_then(|active| active.rules.find(&head.method, head.path.path()));
+    rule.map_or(0, |rule| entry::rule_key(rule, &head.method))
+}
+
+/// Whether a service that the upstream calls for such requests would refuse the tree later.
+fn sheds_below<C: Clock>(shared: &Shared<C>, context: &Context, key: u64) -> bool {
+    let now = shared.clock.now();
+    let admits = |learned: &mut Learned| learned.admits(context.priority(), now);
+    context.depth == 0
+        && shared.settings.mechanisms.levels
+        && shared.below.with(key, admits) == Some(false)
+}
+
+/// A refusal before any work was done, by what the calls of earlier requests met. No other upstream of the service
+/// would do better, as all call the same one.
+fn shed<C: Clock>(shared: &Shared<C>, context: &Context, key: u64) -> Failed {
+    let now = shared.clock.now();
+    let mut failed = unrun(shared, context, Reason::ShedEarly);
+    failed.refusal.exhausted = true;
+    let below = shared.below.with(key, |learned| learned.get(now)).unwrap_or_default();
+    failed.trailer.level = failed.trailer.level.max(below);
+    failed
+}
+
 /// A refusal before a byte was handed to the upstream.
 fn unrun<C: Clock>(shared: &Shared<C>, context: &Context, reason: Reason) -> Failed {
     shared.metrics.refusal(reason, Verdict::NotRun);
     let mut refusal = Refusal::not_run(reason, &shared.settings.node);
-    if reason == Reason::Overloaded {
+    if matches!(reason, Reason::Overloaded | Reason::ShedEarly) {
         refusal = refusal.retry_after(shared.gate.retry_after());
     }
     let trailer =
@@ -159,6 +191,15 @@
     Answer { head: parts, body: Payload::answer(incoming, hold), trailer }
 }
 
+/// Learns the level that the calls of a request met.
+fn learn_below<C: Clock>(shared: &Shared<C>, token: Token, key: u64) {
+    let now = shared.clock.now();
+    let met = shared.calls.with(token, |parent| parent.met()).flatten();
+    if let Some(level) = met {
+        shared.below.with_or(key, || Learned::new(now), |learned| learned.learn(level, now));
+    }
+}
+
 /// What the run says of the tree below it; the rest of its allowance goes back with the answer.
 fn trailer<C: Clock>(shared: &Shared<C>, token: Token) -> Trailer {
     let own = shared.gate.level();
--- a/components/node/src/request/parent.rs
+++ b/components/node/src/request/parent.rs
@@ -48,6 +48,7 @@
     pub level: Priority,
     /// A call it made failed for good.
     pub exhausted: bool,
+    called: bool,
     calls: u32,
     since: Option<Instant>,
     waited: Duration,
@@ -62,6 +63,7 @@
             account,
             level: Priority::default(),
             exhausted: false,
+            called: false,
             calls: 0,
             since: None,
             waited: Duration::ZERO,
@@ -71,6 +73,7 @@
     /// A call was made for it.
     pub fn call_started(&mut self, now: Instant) {
         self.calls += 1;
+        self.called = true;
         self.since.get_or_insert(now);
     }
 
@@ -84,6 +87,11 @@
         }
     }
 
+    /// The admission level that its calls met, if it made any.
+    pub fn met(&self) -> Option<Priority> {
+        self.called.then_some(self.level)
+    }
+
     /// Time in which at least one call was in flight.
     pub fn waited(&self, now: Instant) -> Duration {
         let open = self.since.map(|since| now.saturating_duration_since(since)).unwrap_or_default();
