Run requests with a key at most once: tickets, and plain keys settled by the log

A key runs at one holder, one life of one node, which keeps what became of it. A ticket names its holder and needs no log. A plain key's holder is the first claim in log order; a node runs it only after it has read its own claim back. A run goes on when its caller leaves, and a resend gets its answer. Only the holder may call such a request not run. Proved by 5,000 interleavings of arrivals, reads, ends, restarts and resends, and as processes: lost answers, log down, killed and frozen holders, hard resending.

--- a/components/bench/src/system.rs
+++ b/components/bench/src/system.rs
@@ -163,7 +163,8 @@
     ) -> io::Result<Cluster> {
         let net = if self == Self::Dala { 31 } else { 32 };
         let mut cluster = Cluster::new(net, &setup.programs, self.places())?;
-        cluster.rules(self.rules())?;
+        // Without a log there are no claims.
+        cluster.rules(&self.rules().replace(" once ", " "))?;
         cluster.tweak(variant.settings());
         for vm in self.vms() {
             cluster.add(vm);
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -2,6 +2,7 @@
 //!
 //! Nodes talk capnp-rpc over TCP. All state that the request path needs is in `Shared`; what is here only moves it.
 
+mod claims;
 mod clients;
 mod exchange;
 mod follow;
@@ -20,12 +21,12 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 use units::{Clock, NodeId};
 
 use crate::process::shards::lock;
-use crate::process::shared::{News, Shared};
+use crate::process::shared::{Inbox, Shared};
 use clients::Clients;
 
 /// Time for the last messages of a node that leaves.
@@ -54,13 +55,13 @@
     shared: Arc<Shared<C>>,
     log: L,
     listener: std::net::TcpListener,
-    news: mpsc::UnboundedReceiver<News>,
+    inbox: Inbox,
     leave: watch::Receiver<bool>,
 ) -> std::io::Result<thread::JoinHandle<()>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         let local = LocalSet::new();
-        local.block_on(&runtime, run(shared, log, listener, news, leave));
+        local.block_on(&runtime, run(shared, log, listener, inbox, leave));
     })
 }
 
@@ -68,7 +69,7 @@
     shared: Arc<Shared<C>>,
     log: L,
     listener: std::net::TcpListener,
-    news: mpsc::UnboundedReceiver<News>,
+    inbox: Inbox,
     mut leave: watch::Receiver<bool>,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else { return };
@@ -84,7 +85,8 @@
         log,
     });
     tokio::task::spawn_local(server::listen(control.clone(), listener));
-    tokio::task::spawn_local(suspects::keep_telling(control.clone(), news));
+    tokio::task::spawn_local(suspects::keep_telling(control.clone(), inbox.news));
+    tokio::task::spawn_local(claims::keep_settling(control.clone(), inbox.claims));
     join::once(&control).await;
     tokio::task::spawn_local(join::keep_in_touch(control.clone()));
     tokio::task::spawn_local(gossip::keep_probing(control.clone()));
--- a/components/node/src/process/announce.rs
+++ b/components/node/src/process/announce.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use units::Clock;
 
+use super::shards::lock;
 use super::shared::{Announced, Shared};
 use crate::request::body::Payload;
 
@@ -52,6 +53,8 @@
         let now = shared.clock.now();
         if now.saturating_duration_since(swept) >= SWEEP_EVERY {
             shared.links.sweep();
+            shared.once.tick(now);
+            lock(&shared.quarantine).tick(now);
             swept = now;
         }
     }
@@ -87,5 +90,6 @@
     shared.metrics.waiting.set(i64::from(load.waiting));
     shared.metrics.limit.set(i64::from(load.limit));
     shared.metrics.level.set(i64::from(shared.gate.level().0));
+    shared.metrics.keys.set(shared.once.len() as i64);
     shared.metrics.links.set(shared.links.len() as i64);
 }
--- a/components/node/src/process/members.rs
+++ b/components/node/src/process/members.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use membership::{Member, Status, Table};
+use reservation::Holder;
 use routing::{Candidate, Peer, Tier};
 use units::{Incarnation, NodeId, ServiceName};
 
@@ -31,6 +32,11 @@
 }
 
 impl Target {
+    /// This life of the node, as the holder of keys.
+    pub fn holder(&self) -> Holder {
+        Holder { node: self.node.clone(), incarnation: self.incarnation }
+    }
+
     /// What is known of its load.
     pub fn peer(&self) -> MutexGuard<'_, Peer> {
         lock(&self.peer)
@@ -82,6 +88,13 @@
     }
 }
 
+/// A node that calls are sent to for a key that it holds, whatever its load.
+pub fn only(own: &Member, member: &Member, view: &View, now: Instant) -> Arc<Target> {
+    let service = member.upstream.as_ref().map(|upstream| &upstream.service);
+    let known = service.map_or(&[][..], |service| view.targets(service));
+    target(own, member, tier_of(own, member), known, now)
+}
+
 fn targets(
     own: &Member,
     members: &[&Member],
--- a/components/node/src/process/metrics.rs
+++ b/components/node/src/process/metrics.rs
@@ -28,6 +28,8 @@
     pub members: IntGauge,
     /// Whether the last read of the log failed.
     pub log_down: IntGauge,
+    /// Keys that this node holds.
+    pub keys: IntGauge,
     /// Connections to other nodes.
     pub links: IntGauge,
 }
@@ -74,6 +76,7 @@
             level: gauge("upstream_level", "Admission level of the upstream.")?,
             members: gauge("members", "Members that are there.")?,
             log_down: gauge("log_down", "1 when the last read of the log failed.")?,
+            keys: gauge("keys", "Keys that this node holds.")?,
             links: gauge("links", "Connections to other nodes.")?,
             registry,
         })
--- a/components/node/src/process/serve.rs
+++ b/components/node/src/process/serve.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use reservation::Key;
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -19,13 +20,14 @@
 use verdict::{Reason, Refusal};
 
 use super::shared::{Announced, Shared};
-use crate::request::attempt::{Failed, Head, Trailer, Wire};
+use crate::request::attempt::{Head, Trailer, Wire, WireHolder};
 use crate::request::body::Payload;
 use crate::request::context::Header;
 use crate::request::entry::{self, Source};
 use crate::request::{guard, headers};
 
 const ANNOUNCE: &str = "/almondknot/announce";
+const TICKET: &str = "/almondknot/ticket";
 const ANNOUNCE_LARGEST: usize = 16 << 10;
 /// Time that a caller may take to send a request's headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -104,6 +106,9 @@
     request: Request<Incoming>,
 ) -> Response<Payload<C>> {
     match side {
+        _ if request.uri().path() == TICKET && !matches!(side, Side::Peers) => {
+            ticket(&shared, &request)
+        }
         Side::Callers => entry::call(shared, Source::Caller(from.ip()), request).await,
         Side::Upstream if request.uri().path() == ANNOUNCE => announced(&shared, request).await,
         Side::Upstream => entry::call(shared, Source::Upstream, request).await,
@@ -111,6 +116,28 @@
     }
 }
 
+/// Gives out a ticket for one request of a service: `/almondknot/ticket?service=orders`.
+fn ticket<C: Clock>(shared: &Shared<C>, request: &Request<Incoming>) -> Response<Payload<C>> {
+    let service: Option<ServiceName> = request
+        .uri()
+        .query()
+        .and_then(|query| query.strip_prefix("service="))
+        .and_then(|name| name.parse().ok());
+    let Some(service) = service else {
+        return plain(http::StatusCode::BAD_REQUEST, "expected ?service=NAME".to_owned());
+    };
+    let Some(target) = shared.choose(&service, &[]) else {
+        return entry::refuse(shared, Refusal::not_run(Reason::NoUpstream, &shared.settings.node));
+    };
+    let ticket = Key::Ticket { holder: target.holder(), at: shared.wall(), nonce: rand::random() };
+    let mut response = plain(
+        http::StatusCode::OK,
+        serde_json::json!({ "ticket": ticket.to_string() }).to_string(),
+    );
+    headers::set(response.headers_mut(), http::header::CONTENT_TYPE, "application/json");
+    response
+}
+
 /// A call from another node.
 async fn guarded<C: Clock>(
     shared: &Arc<Shared<C>>,
@@ -129,13 +156,20 @@
     let mut exhausted = false;
     let (mut response, trailer) = match guard::serve(shared, context, &head, body).await {
         Ok(answer) => (Response::from_parts(answer.head, answer.body), answer.trailer),
-        Err(Failed { refusal, trailer, lethal }) => {
-            exhausted = refusal.exhausted;
-            let mut response = entry::refuse(shared, refusal);
-            if lethal {
-                headers::set(response.headers_mut(), headers::LETHAL, 1);
+        Err(failed) => {
+            exhausted = failed.refusal.exhausted;
+            let mut response = entry::refuse(shared, failed.refusal);
+            let map = response.headers_mut();
+            if failed.lethal {
+                headers::set(map, headers::LETHAL, 1);
+            }
+            if failed.settled {
+                headers::set(map, headers::SETTLED, 1);
+            }
+            if let Some(holder) = failed.holder {
+                headers::set(map, headers::HOLDER, WireHolder(holder));
             }
-            (response, trailer)
+            (response, failed.trailer)
         }
     };
     mark(
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -10,6 +10,7 @@
 use limits::{Config, Learned};
 use membership::{Member, Serving, State, Status, Table};
 use quarantine::{Fingerprint, Told};
+use reservation::Holder;
 use retries::Bucket;
 use routing::{Candidate, LinkBudget};
 use rules::ServiceRule;
@@ -19,11 +20,12 @@
 use wire::Summary;
 
 use super::gate::Gate;
-use super::members::{Target, View};
+use super::members::{self, Target, View};
 use super::metrics::Metrics;
 use super::shards::{Shards, lock};
 use crate::connection::peers::Links;
 use crate::connection::upstream::Pool;
+use crate::request::once::Once;
 use crate::request::parent::{Calls, Token};
 use crate::version::Active;
 
@@ -37,6 +39,49 @@
 /// Slots of an upstream that is not limited, in experiments.
 const NO_LIMIT: u32 = 100_000;
 
+/// What the request path hands to the control traffic.
+pub struct Outbox {
+    /// News of suspects.
+    pub news: mpsc::UnboundedSender<News>,
+    /// Claims of keys.
+    pub claims: mpsc::UnboundedSender<Ask>,
+}
+
+/// What the control traffic is handed by the request path.
+pub struct Inbox {
+    /// News of suspects.
+    pub news: mpsc::UnboundedReceiver<News>,
+    /// Claims of keys.
+    pub claims: mpsc::UnboundedReceiver<Ask>,
+}
+
+/// Both ends of the way from the request path to the control traffic.
+pub fn mailbox() -> (Outbox, Inbox) {
+    let ((news, told), (claims, asked)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+    (Outbox { news, claims }, Inbox { news: told, claims: asked })
+}
+
+/// A claim of a key.
+pub struct Ask {
+    /// The key.
+    pub key: String,
+    /// Where the answer goes.
+    pub answer: oneshot::Sender<Settled>,
+}
+
+/// Who may run a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Settled {
+    /// This node.
+    Here,
+    /// This node, which has held it before and has forgotten what became of it.
+    Forgotten,
+    /// Another.
+    Elsewhere(Holder),
+    /// The log can't be asked.
+    Unavailable,
+}
+
 /// Longest time that the answer to a suspect waits until others know of it.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -101,6 +146,10 @@
     pub stopping: watch::Sender<bool>,
     /// Requests that were there when an upstream died.
     pub quarantine: Mutex<quarantine::Table>,
+    /// Keys that this life of the node holds.
+    pub once: Once,
+    /// Claims of keys for the control traffic to settle.
+    pub claims: mpsc::UnboundedSender<Ask>,
     /// News of suspects for the control traffic to tell.
     pub news: mpsc::UnboundedSender<News>,
     epoch: AtomicU64,
@@ -114,11 +163,7 @@
 
 impl<C: Clock> Shared<C> {
     /// State of a process that has just started.
-    pub fn new(
-        settings: Settings,
-        clock: C,
-        news: mpsc::UnboundedSender<News>,
-    ) -> prometheus::Result<Self> {
+    pub fn new(settings: Settings, clock: C, outbox: Outbox) -> prometheus::Result<Self> {
         let now = clock.now();
         let wall = clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         let own = own_record(&settings, Incarnation(wall.as_millis() as u64));
@@ -139,7 +184,9 @@
             changed: Notify::new(),
             stopping: watch::Sender::new(false),
             quarantine: Mutex::default(),
-            news,
+            once: Once::new(settings.bounds.window),
+            claims: outbox.claims,
+            news: outbox.news,
             epoch: AtomicU64::new(wall.as_millis() as u64),
             active: RwLock::new(None),
             view: RwLock::default(),
@@ -257,6 +304,35 @@
         self.publish_upstream();
     }
 
+    /// Time of day.
+    pub fn wall(&self) -> Duration {
+        self.clock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default()
+    }
+
+    /// This life of the node, as the holder of keys.
+    pub fn holder(&self) -> Holder {
+        let table = lock(&self.table);
+        Holder { node: table.own().node.clone(), incarnation: table.own().incarnation }
+    }
+
+    /// The node that holds a key, if that life of it is still there.
+    pub fn held_by(&self, holder: &Holder) -> Option<Arc<Target>> {
+        let (view, now) = (self.view(), self.clock.now());
+        let table = lock(&self.table);
+        let member = table.get(&holder.node)?;
+        let there = member.is_present() && member.incarnation == holder.incarnation;
+        there.then(|| members::only(table.own(), member, &view, now))
+    }
+
+    /// Settles who may run a plain key.
+    pub async fn claim(&self, key: &str) -> Settled {
+        let (answer, settled) = oneshot::channel();
+        if self.claims.send(Ask { key: key.to_owned(), answer }).is_err() {
+            return Settled::Unavailable;
+        }
+        settled.await.unwrap_or(Settled::Unavailable)
+    }
+
     /// Whether a request is in quarantine.
     pub fn is_held(&self, fingerprint: Fingerprint) -> bool {
         self.settings.mechanisms.quarantine && lock(&self.quarantine).holds(fingerprint)
--- a/components/node/src/process/start.rs
+++ b/components/node/src/process/start.rs
@@ -10,12 +10,12 @@
 use quick_error::quick_error;
 use settings::Settings;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use units::Clock;
 
 use super::serve::{self, Side};
-use super::shared::{LINGER, Shared};
+use super::shared::{LINGER, Shared, mailbox};
 use super::{admin, announce};
 use crate::control;
 use crate::version::Active;
@@ -82,8 +82,8 @@
     /// Starts a node: it listens when this returns.
     pub async fn start(settings: Settings, clock: C, log: impl Log) -> Result<Self, Error> {
         let listen = settings.listen.clone();
-        let (news, told) = mpsc::unbounded_channel();
-        let shared = Arc::new(Shared::new(settings, clock, news)?);
+        let (outbox, inbox) = mailbox();
+        let shared = Arc::new(Shared::new(settings, clock, outbox)?);
         if let Some(active) = bootstrap(&shared)? {
             shared.activate(active);
         }
@@ -94,7 +94,7 @@
         let control = bind("control", listen.control).await?.into_std().map_err(Error::Control)?;
         let (outer, inner, leave) =
             (watch::Sender::new(false), watch::Sender::new(false), watch::Sender::new(false));
-        let control = control::spawn(shared.clone(), log, control, told, leave.subscribe())
+        let control = control::spawn(shared.clone(), log, control, inbox, leave.subscribe())
             .map_err(Error::Control)?;
         let serve = |side: Side, listener: TcpListener, stop: &watch::Sender<bool>| {
             tokio::spawn(serve::listen(shared.clone(), side, listener, stop.subscribe()))
--- a/components/node/src/request.rs
+++ b/components/node/src/request.rs
@@ -8,4 +8,5 @@
 pub mod guard;
 pub mod headers;
 pub mod hold;
+pub mod once;
 pub mod parent;
--- a/components/node/src/request/attempt.rs
+++ b/components/node/src/request/attempt.rs
@@ -5,6 +5,7 @@
 
 use http::{HeaderMap, Request, StatusCode, response};
 use limits::Priority;
+use reservation::Holder;
 use retries::Allowance;
 use routing::Report;
 use units::Clock;
@@ -78,12 +79,16 @@
     pub trailer: Trailer,
     /// The connection to the upstream was lost while it ran.
     pub lethal: bool,
+    /// The node that alone may run the key.
+    pub holder: Option<Holder>,
+    /// The holder of the key says that it never ran.
+    pub settled: bool,
 }
 
 impl Failed {
     /// A failure that says nothing of the tree below.
     pub fn new(refusal: Refusal) -> Self {
-        Self { refusal, trailer: Trailer::default(), lethal: false }
+        Self { refusal, trailer: Trailer::default(), lethal: false, holder: None, settled: false }
     }
 }
 
@@ -135,7 +140,10 @@
             peer.refused(now);
         }
         let lethal = parts.headers.contains_key(&headers::LETHAL);
-        return Err(Failed { refusal, trailer, lethal });
+        let settled = parts.headers.contains_key(&headers::SETTLED);
+        let holder =
+            headers::parse(&parts.headers, &headers::HOLDER).map(|WireHolder(holder)| holder);
+        return Err(Failed { refusal, trailer, lethal, holder, settled });
     }
     target.peer().answered(report, now.saturating_duration_since(started), now);
     headers::strip_internal(&mut parts.headers);
@@ -182,6 +190,24 @@
     Some(refusal)
 }
 
+/// A holder as a header.
+pub struct WireHolder(pub Holder);
+
+impl std::fmt::Display for WireHolder {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(out, "{}/{}", self.0.node, self.0.incarnation)
+    }
+}
+
+impl std::str::FromStr for WireHolder {
+    type Err = units::ParseError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let wrong = || units::ParseError::Expected(text.to_owned(), "a node and its incarnation");
+        let (node, incarnation) = text.split_once('/').ok_or_else(wrong)?;
+        Ok(Self(Holder { node: node.parse()?, incarnation: incarnation.parse()? }))
+    }
+}
+
 /// A load report as a header.
 pub struct Wire(pub Report);
 
--- a/components/node/src/request/context.rs
+++ b/components/node/src/request/context.rs
@@ -29,6 +29,8 @@
     pub idempotent: bool,
     /// Service that is called.
     pub service: ServiceName,
+    /// It has a key and must run at most once.
+    pub once: bool,
     /// What it has in common with the same request sent again.
     pub fingerprint: Fingerprint,
 }
@@ -55,6 +57,7 @@
             idempotent: self.idempotent,
             service: self.service.clone(),
             fingerprint: self.fingerprint,
+            once: self.once,
         }
     }
 }
@@ -70,6 +73,7 @@
     idempotent: bool,
     service: ServiceName,
     fingerprint: Fingerprint,
+    once: bool,
 }
 
 impl Header {
@@ -84,17 +88,18 @@
             idempotent: self.idempotent,
             service: self.service,
             fingerprint: self.fingerprint,
+            once: self.once,
         }
     }
 }
 
 impl fmt::Display for Header {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { root, class, micros, retries, depth, idempotent, service, fingerprint } = self;
+        let Self { root, class, micros, retries, depth, service, fingerprint, .. } = self;
+        let (idempotent, once) = (u8::from(self.idempotent), u8::from(self.once));
         write!(
             out,
-            "1;{root};{class};{micros};{retries};{depth};{};{service};{fingerprint}",
-            u8::from(*idempotent)
+            "1;{root};{class};{micros};{retries};{depth};{idempotent};{service};{fingerprint};{once}"
         )
     }
 }
@@ -120,5 +125,6 @@
         idempotent: parts.next()? == "1",
         service: parts.next()?.parse().ok()?,
         fingerprint: parts.next()?.parse().ok()?,
+        once: parts.next()? == "1",
     })
 }
--- a/components/node/src/request/entry.rs
+++ b/components/node/src/request/entry.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use limits::Learned;
 use quarantine::Fingerprint;
+use reservation::{Holder, Key};
 use retries::{Account, Allowance, Bucket, Choice, Failure, Stop};
 use rules::{CallRule, Class};
 use units::{Clock, RootId};
@@ -69,6 +70,9 @@
         Ok(body) => body,
         Err(err) => return refuse(&shared, unreadable(&shared, &err)),
     };
+    if call.context.once && key(&call.head).is_none() {
+        return refuse(&shared, Refusal::not_run(Reason::KeyMissing, &shared.settings.node));
+    }
     call.context.fingerprint = fingerprint(&call.head, &body);
     if shared.is_held(call.context.fingerprint) {
         return refuse(&shared, quarantined(&shared));
@@ -80,6 +84,11 @@
     finish(&shared, &call, tried)
 }
 
+/// The key of a request.
+pub fn key(head: &Head) -> Option<Key> {
+    headers::parse(&head.headers, &headers::KEY)
+}
+
 /// A key names a request whatever its body; without one the same call with the same body counts as the same.
 fn fingerprint<C: Clock>(head: &Head, body: &Kept<C>) -> Fingerprint {
     if let Some(key) = head.headers.get(headers::KEY) {
@@ -164,6 +173,7 @@
         depth: parent.context.depth + 1,
         idempotent: rule.idempotent,
         service: rule.service.clone(),
+        once: rule.once,
         fingerprint: Fingerprint::default(),
     })
 }
@@ -183,6 +193,7 @@
         depth: 0,
         idempotent: rule.idempotent,
         service: rule.service.clone(),
+        once: rule.once,
         fingerprint: Fingerprint::default(),
     }
 }
@@ -269,9 +280,11 @@
     let ratio = active.rules.service(service).ratio;
     shared.buckets.with_or(service.clone(), Bucket::new, |bucket| bucket.first_try(ratio));
     let mut seen: Vec<Arc<Target>> = Vec::new();
+    let mut holder = named_holder(call);
     loop {
-        let Some(target) = shared.choose(service, &seen) else {
-            return Err(Failed::new(Refusal::not_run(Reason::NoUpstream, &shared.settings.node)));
+        let target = match pick(shared, call, holder.as_ref(), &seen) {
+            Ok(target) => target,
+            Err(refusal) => return Err(Failed::new(refusal)),
         };
         let Some(payload) = body.next() else {
             return Err(Failed::new(Refusal::not_run(Reason::Unreachable, &shared.settings.node)));
@@ -284,6 +297,14 @@
         account.settle(lent, trailer.returned);
         learn(trailer);
         let Some(failure) = failure else { return tried };
+        if let Err(Failed { holder: Some(elsewhere), .. }) = &tried
+            && holder.as_ref() != Some(elsewhere)
+            && body.is_replayable()
+        {
+            // Nothing was tried yet: the key only has to go where it may run.
+            holder = Some(elsewhere.clone());
+            continue;
+        }
         let choice = if shared.settings.mechanisms.allowance {
             shared.buckets.with(service.clone(), |bucket| retries::decide(failure, account, bucket))
         } else {
@@ -302,6 +323,34 @@
     }
 }
 
+/// The node that a ticket names.
+fn named_holder(call: &Call) -> Option<Holder> {
+    match key(&call.head).filter(|_| call.context.once)? {
+        Key::Ticket { holder, .. } => Some(holder),
+        Key::Plain(_) => None,
+    }
+}
+
+/// The node for the next try: the holder of the key where it is known, and nobody else then.
+fn pick<C: Clock>(
+    shared: &Shared<C>,
+    call: &Call,
+    holder: Option<&Holder>,
+    seen: &[Arc<Target>],
+) -> Result<Arc<Target>, Refusal> {
+    let node = &shared.settings.node;
+    match holder {
+        Some(holder) => {
+            let gone = || Refusal::new(Verdict::MayHaveRun, Reason::HolderGone, node);
+            shared.held_by(holder).ok_or_else(gone)
+        }
+        None => {
+            let nobody = || Refusal::not_run(Reason::NoUpstream, node);
+            shared.choose(&call.context.service, seen).ok_or_else(nobody)
+        }
+    }
+}
+
 /// What a plain client library does: the baseline of experiments.
 fn naive(retries: usize, failure: Failure) -> Choice {
     if retries < NAIVE_RETRIES && failure.replayable && failure.left > Duration::ZERO {
@@ -325,7 +374,8 @@
     least: Duration,
 ) -> (Trailer, Option<Failure>) {
     let left = call.context.left(shared.clock.now());
-    let idempotent = call.context.idempotent;
+    // A key that is sent again goes to its holder, which runs it once.
+    let idempotent = call.context.idempotent || call.context.once;
     match tried {
         Ok(answer) if !answer.is_failure() => (answer.trailer, None),
         Ok(answer) => {
@@ -382,11 +432,20 @@
         }
         Err(failed) => {
             shared.metrics.call(&rule, call.context.class, failed.refusal.reason.as_str());
-            refuse(shared, failed.refusal)
+            refuse(shared, told(call, failed))
         }
     }
 }
 
+/// Only the holder of a key knows that it never ran; an earlier try of the same key may have.
+fn told(call: &Call, failed: Failed) -> Refusal {
+    let mut refusal = failed.refusal;
+    if call.context.once && refusal.verdict == Verdict::NotRun && !failed.settled {
+        refusal.verdict = Verdict::MayHaveRun;
+    }
+    refusal
+}
+
 fn unreadable<C: Clock>(shared: &Shared<C>, err: &BodyError) -> Refusal {
     let reason = match err {
         BodyError::TooLarge => Reason::TooLarge,
--- a/components/node/src/request/guard.rs
+++ b/components/node/src/request/guard.rs
@@ -15,18 +15,32 @@
 use super::entry;
 use super::headers;
 use super::hold::{Hold, Run};
+use super::once;
 use super::parent::{Parent, Token};
 use crate::connection::peers::SendError;
 use crate::connection::upstream::Pool;
 use crate::process::gate::Entry;
 use crate::process::shared::{Announced, Shared};
 
-/// Runs a call at the upstream beside this node, if the guard lets it.
+/// Serves a call at the upstream beside this node.
 pub async fn serve<C: Clock>(
     shared: &Arc<Shared<C>>,
     context: Context,
     head: &Head,
     body: Payload<C>,
+) -> Tried<C> {
+    match context.once {
+        true => once::serve(shared, context, head, body).await,
+        false => run(shared, context, head, body).await,
+    }
+}
+
+/// Runs a call at the upstream beside this node, if the guard lets it.
+pub async fn run<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    context: Context,
+    head: &Head,
+    body: Payload<C>,
 ) -> Tried<C> {
     let token = shared.token();
     let Some(announced) =
@@ -140,14 +154,14 @@
     }
     let trailer =
         Trailer { level: shared.gate.level(), returned: context.retries, exhausted: false };
-    Failed { refusal, trailer, lethal: false }
+    Failed { trailer, ..Failed::new(refusal) }
 }
 
 /// A failure after the request was handed to the upstream.
 fn lost<C: Clock>(shared: &Shared<C>, token: Token, reason: Reason) -> Failed {
     shared.metrics.refusal(reason, Verdict::MayHaveRun);
     let refusal = Refusal::new(Verdict::MayHaveRun, reason, &shared.settings.node);
-    Failed { refusal, trailer: trailer(shared, token), lethal: false }
+    Failed { trailer: trailer(shared, token), ..Failed::new(refusal) }
 }
 
 /// The connection broke while the request ran. If the upstream is gone, the request is a suspect, and others hear of
--- a/components/node/src/request/headers.rs
+++ b/components/node/src/request/headers.rs
@@ -13,6 +13,10 @@
 pub const RETURNED: HeaderName = HeaderName::from_static("almondknot-returned");
 /// Nobody above should retry.
 pub const EXHAUSTED: HeaderName = HeaderName::from_static("almondknot-exhausted");
+/// The node that alone may run a key.
+pub const HOLDER: HeaderName = HeaderName::from_static("almondknot-holder");
+/// The holder of the key says that it never ran.
+pub const SETTLED: HeaderName = HeaderName::from_static("almondknot-settled");
 /// The upstream died while it ran the request.
 pub const LETHAL: HeaderName = HeaderName::from_static("almondknot-lethal");
 /// Whether the request may have run.
@@ -43,8 +47,10 @@
     header::TRANSFER_ENCODING,
     header::UPGRADE,
 ];
-const OWN: [HeaderName; 10] =
-    [CONTEXT, REPORT, LEVEL, RETURNED, EXHAUSTED, LETHAL, VERDICT, REASON, REFUSED_BY, CLASS];
+const OWN: [HeaderName; 12] = [
+    CONTEXT, REPORT, LEVEL, RETURNED, EXHAUSTED, LETHAL, HOLDER, SETTLED, VERDICT, REASON,
+    REFUSED_BY, CLASS,
+];
 
 /// Removes headers that concern one connection only (RFC 9110, section 7.6.1).
 pub fn strip_hop(headers: &mut HeaderMap) {
@@ -69,7 +75,7 @@
 
 /// Removes what only nodes need from an answer to a caller or an upstream.
 pub fn strip_internal(headers: &mut HeaderMap) {
-    for name in [&REPORT, &LEVEL, &RETURNED, &EXHAUSTED, &LETHAL] {
+    for name in [&REPORT, &LEVEL, &RETURNED, &EXHAUSTED, &LETHAL, &HOLDER, &SETTLED] {
         headers.remove(name);
     }
 }
--- /dev/null
+++ b/components/reservation/tests/reservation.rs
@@ -0,0 +1,214 @@
+//! A key runs at most once, whatever happens in whatever order.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::too_many_lines,
+    reason = "a test stops at what it did not expect"
+)]
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use reservation::{Book, Claim, Claims, Entry, Holder, Key, Outcome};
+use units::{Clock, Incarnation, ManualClock};
+
+const WINDOW: Duration = Duration::from_secs(600);
+
+fn holder(index: u64, life: u64) -> Holder {
+    Holder { node: format!("n{index}").parse().unwrap(), incarnation: Incarnation(life) }
+}
+
+fn plain(index: u64) -> Key {
+    Key::Plain(format!("k{index}"))
+}
+
+#[gtest]
+fn a_ticket_can_be_read_back_and_grows_old() -> googletest::Result<()> {
+    let ticket = Key::Ticket { holder: holder(1, 7), at: Duration::from_millis(5_000), nonce: 9 };
+    expect_that!(ticket.to_string().parse::<Key>(), ok(eq(&ticket)));
+    expect_that!(ticket.is_older(WINDOW, Duration::from_secs(605)), eq(false));
+    expect_that!(ticket.is_older(WINDOW, Duration::from_secs(606)), eq(true));
+    expect_that!("tk1:n:x".parse::<Key>(), err(anything()));
+    expect_that!("order 7".parse::<Key>(), err(anything()));
+    expect_that!("order-7".parse::<Key>(), ok(eq(&Key::Plain("order-7".to_owned()))));
+    Ok(())
+}
+
+#[gtest]
+fn a_resend_waits_for_the_first_run_and_gets_its_answer() {
+    let now = ManualClock::new().now();
+    let mut book: Book<&str> = Book::new(WINDOW);
+    expect_that!(book.enter(&plain(1)), eq(&Entry::Unheld));
+    book.hold(&plain(1), now);
+    expect_that!(book.enter(&plain(1)), eq(&Entry::Run));
+    expect_that!(book.enter(&plain(1)), eq(&Entry::Wait));
+    book.hold(&plain(1), now);
+    book.end(&plain(1), Outcome::Answered("whole"), now);
+    expect_that!(book.enter(&plain(1)), eq(&Entry::Replay("whole")));
+}
+
+#[gtest]
+fn what_was_shed_before_it_ran_may_run_later_and_what_was_lost_may_not() {
+    let now = ManualClock::new().now();
+    let mut book: Book<&str> = Book::new(WINDOW);
+    book.hold(&plain(1), now);
+    book.enter(&plain(1));
+    book.end(&plain(1), Outcome::Unrun, now);
+    expect_that!(book.enter(&plain(1)), eq(&Entry::Run));
+    book.end(&plain(1), Outcome::Lost, now);
+    book.hold(&plain(1), now);
+    expect_that!(book.enter(&plain(1)), eq(&Entry::Lost));
+}
+
+#[gtest]
+fn a_key_that_runs_is_never_forgotten() {
+    let clock = ManualClock::new();
+    let mut book: Book<&str> = Book::new(WINDOW);
+    book.hold(&plain(1), clock.now());
+    book.hold(&plain(2), clock.now());
+    book.enter(&plain(1));
+    clock.advance(WINDOW * 2);
+    book.tick(clock.now());
+    expect_that!(book.enter(&plain(1)), eq(&Entry::Wait));
+    expect_that!(book.enter(&plain(2)), eq(&Entry::Unheld));
+}
+
+/// One step of the system below.
+#[derive(Debug, Clone)]
+enum Step {
+    /// A request with a key arrives at a node; the node appends a claim, whose answer may be lost.
+    Arrive { node: usize, key: u64 },
+    /// A node reads the log up to its end; keys that it waits for and won start to run.
+    Read { node: usize },
+    /// A run ends.
+    End { node: usize, key: u64, outcome: u8 },
+    /// A node is killed and started anew: it forgets everything.
+    Restart { node: usize },
+    /// A request with a key is sent to the holder that the log names.
+    Resend { key: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0_usize..3, 0_u64..3).prop_map(|(node, key)| Step::Arrive { node, key }),
+        4 => (0_usize..3).prop_map(|node| Step::Read { node }),
+        3 => (0_usize..3, 0_u64..3, 0_u8..4).prop_map(|(node, key, outcome)| Step::End { node, key, outcome }),
+        1 => (0_usize..3).prop_map(|node| Step::Restart { node }),
+        2 => (0_u64..3).prop_map(|key| Step::Resend { key }),
+    ]
+}
+
+struct Node {
+    holder: Holder,
+    book: Book<u32>,
+    claims: Claims,
+    read: usize,
+    waiting: Vec<u64>,
+}
+
+impl Node {
+    fn new(index: u64, life: u64) -> Self {
+        Self {
+            holder: holder(index, life),
+            book: Book::new(WINDOW),
+            claims: Claims::new(),
+            read: 0,
+            waiting: Vec::new(),
+        }
+    }
+}
+
+/// Runs that have begun and may have had an effect, by key.
+type Runs = HashMap<u64, u32>;
+
+fn try_run(node: &mut Node, key: u64, runs: &mut Runs, now: std::time::Instant) {
+    if node.claims.winner(&format!("k{key}")) == Some(&node.holder) {
+        node.book.hold(&plain(key), now);
+        if node.book.enter(&plain(key)) == Entry::Run {
+            *runs.entry(key).or_default() += 1;
+        }
+    }
+}
+
+/// Plays steps; `settle` says whether a node waits to read its claim back before it runs.
+fn play(steps: &[Step], settle: bool) -> Runs {
+    let now = ManualClock::new().now();
+    let mut nodes: Vec<Node> = (0..3).map(|index| Node::new(index, 1)).collect();
+    let (mut log, mut runs): (Vec<Claim>, Runs) = (Vec::new(), HashMap::new());
+    for (number, step) in steps.iter().enumerate() {
+        match step {
+            Step::Arrive { node, key } => {
+                let node = &mut nodes[*node];
+                log.push(Claim {
+                    holder: node.holder.clone(),
+                    batch: number as u64,
+                    keys: vec![format!("k{key}")],
+                });
+                node.waiting.push(*key);
+                if !settle {
+                    node.book.hold(&plain(*key), now);
+                    if node.book.enter(&plain(*key)) == Entry::Run {
+                        *runs.entry(*key).or_default() += 1;
+                    }
+                }
+            }
+            Step::Read { node } if settle => {
+                let node = &mut nodes[*node];
+                log[node.read..].iter().for_each(|claim| node.claims.apply(claim));
+                node.read = log.len();
+                for key in std::mem::take(&mut node.waiting) {
+                    try_run(node, key, &mut runs, now);
+                }
+            }
+            Step::Read { .. } => {}
+            Step::End { node, key, outcome } => {
+                let node = &mut nodes[*node];
+                match node.book.enter(&plain(*key)) {
+                    Entry::Wait => {}
+                    Entry::Run => {
+                        node.book.end(&plain(*key), Outcome::Unrun, now);
+                        continue;
+                    }
+                    _ => continue,
+                }
+                let outcome = [Outcome::Unrun, Outcome::Answered(1), Outcome::Ran, Outcome::Lost]
+                    [usize::from(*outcome)]
+                .clone();
+                if outcome == Outcome::Unrun {
+                    *runs.get_mut(key).unwrap() -= 1;
+                }
+                node.book.end(&plain(*key), outcome, now);
+            }
+            Step::Restart { node } => {
+                let life = nodes[*node].holder.incarnation.0 + 1;
+                nodes[*node] = Node::new(*node as u64, life);
+            }
+            Step::Resend { key } => {
+                for node in nodes.iter_mut() {
+                    try_run(node, *key, &mut runs, now);
+                }
+            }
+        }
+    }
+    runs
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 5_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_key_runs_twice(steps in prop::collection::vec(step(), 0..60)) {
+        let runs = play(&steps, true);
+        prop_assert!(runs.values().all(|runs| *runs <= 1), "{:?}", runs);
+    }
+}
+
+/// The same without waiting for the claim: two nodes run one key.
+#[gtest]
+fn without_reading_the_claim_back_a_key_runs_twice() {
+    let steps = [Step::Arrive { node: 0, key: 1 }, Step::Arrive { node: 1, key: 1 }];
+    expect_that!(play(&steps, false)[&1], eq(2));
+    expect_that!(play(&steps, true).get(&1), none());
+}
--- a/components/rules/src/model.rs
+++ b/components/rules/src/model.rs
@@ -82,6 +82,8 @@
         pub retries: u8,
         /// Running it twice does no harm.
         pub idempotent: bool,
+        /// It must run at most once: each request needs a key.
+        pub once: bool,
         /// Largest body; the node's own bound when not given.
         pub body: Option<ByteSize>,
         /// Who asked for the rule.
--- a/components/rules/src/parse.rs
+++ b/components/rules/src/parse.rs
@@ -12,7 +12,8 @@
 use crate::model::{CallRule, Class, RuleSet, ServiceRule};
 
 const VERBS: [&str; 2] = ["call", "service"];
-const CALL_OPTIONS: [&str; 6] = ["class", "deadline", "retries", "idempotent", "body", "to"];
+const CALL_OPTIONS: [&str; 7] =
+    ["class", "deadline", "retries", "idempotent", "body", "to", "once"];
 const SERVICE_OPTIONS: [&str; 4] = ["queue", "retry-ratio", "slots", "connections"];
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
 const DEFAULT_RETRIES: u8 = 2;
@@ -71,6 +72,7 @@
             deadline: DEFAULT_DEADLINE,
             retries: DEFAULT_RETRIES,
             idempotent: matches!(method_word.text, "GET" | "HEAD" | "OPTIONS"),
+            once: false,
             body: None,
             asker: line.asker.to_owned(),
             line: line.number,
@@ -134,7 +136,11 @@
             "deadline" => rule.deadline = span(line, argument(line, option, words)?)?,
             "retries" => rule.retries = retries(line, argument(line, option, words)?)?,
             "body" => rule.body = Some(value(line, argument(line, option, words)?)?),
-            "idempotent" => rule.idempotent = true,
+            "idempotent" if !rule.once => rule.idempotent = true,
+            "once" if !rule.idempotent => rule.once = true,
+            "idempotent" | "once" => {
+                return Err(line.flaw(option, "a call is either idempotent or `once`"));
+            }
             _ => {
                 return Err(unknown(
                     line,
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -50,6 +50,18 @@
             format!("`{}` (expected 1 to {DEEPEST})", settings.bounds.depth),
         );
     }
+    if let Some(log) =
+        settings.log.as_ref().filter(|log| log.retention / 2 < settings.bounds.window)
+    {
+        let retention = units::span::format(log.retention);
+        return wrong(
+            "bounds.window",
+            format!(
+                "`{}` is over half of log.retention (expected at most half of `{retention}`)",
+                units::span::format(settings.bounds.window)
+            ),
+        );
+    }
     if settings.control.probe < SHORTEST_PROBE {
         return wrong(
             "control.probe",
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -80,6 +80,9 @@
         /// Stream that nodes announce themselves on.
         #[serde(default = "members_stream")]
         pub members: String,
+        /// Name that the streams of claims start with.
+        #[serde(default = "claims_streams")]
+        pub claims: String,
         /// Time that the log keeps a record.
         #[serde(default = "retention", with = "units::span")]
         pub retention: Duration,
@@ -94,6 +97,9 @@
         pub replay: ByteSize,
         /// Deepest nesting of calls.
         pub depth: u8,
+        /// Time that a key is remembered; a caller sends a request again within it.
+        #[serde(with = "units::span")]
+        pub window: Duration,
         /// Longest time that a stop waits for requests in flight.
         #[serde(with = "units::span")]
         pub stop: Duration,
@@ -148,6 +154,7 @@
             body: ByteSize(8 << 20),
             replay: ByteSize(64 << 10),
             depth: 24,
+            window: Duration::from_secs(600),
             stop: Duration::from_secs(30),
         }
     }
@@ -174,6 +181,10 @@
     "rules".to_owned()
 }
 
+fn claims_streams() -> String {
+    "claims".to_owned()
+}
+
 fn retention() -> Duration {
     Duration::from_secs(3_600)
 }
--- a/components/standins/src/upstream/chain.rs
+++ b/components/standins/src/upstream/chain.rs
@@ -55,6 +55,9 @@
             request = request.header(name, value);
         }
     }
+    if let Some(key) = headers.get("idempotency-key").and_then(|key| key.to_str().ok()) {
+        request = request.header("idempotency-key", format!("{}.{key}", &child.path[1..]));
+    }
     let answer =
         client::send(&upstream.http, request.body(Full::<Bytes>::default()).ok()?).await.ok()??;
     let body: Value = serde_json::from_slice(&answer.body).ok()?;
--- a/components/verdict/src/reason.rs
+++ b/components/verdict/src/reason.rs
@@ -58,6 +58,16 @@
     ConnectionLost = "connection-lost", 502, "The connection was lost before the whole answer came.";
     /// The request killed two upstreams.
     Quarantined = "quarantined", 422, "The request is in quarantine: upstreams died while they ran it.";
+    /// The rule wants a key and the request has none.
+    KeyMissing = "key-missing", 400, "This call needs an Idempotency-Key of 1 to 200 visible ASCII characters.";
+    /// The key belongs to another node.
+    HeldElsewhere = "held-elsewhere", 421, "The key is held by another node.";
+    /// The node that alone may run the key is gone.
+    HolderGone = "holder-gone", 409, "The only node that may know or run this key is gone.";
+    /// The request ran, and its answer was not kept.
+    AnswerGone = "answer-gone", 409, "The request ran, and its answer is no longer kept.";
+    /// The log is needed to settle who may run the key.
+    LogUnavailable = "log-unavailable", 503, "The log can't settle who may run this key; a ticket would need no log.";
     /// Calls are nested too deep.
     TooDeep = "too-deep", 508, "Calls are nested too deep.";
     /// The node has no configuration yet.
--- /dev/null
+++ b/tests/once.rs
@@ -0,0 +1,227 @@
+//! A request with a key runs at most once, counted where it runs: in the upstream.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use standins::client::Answer;
+use standins::cluster::{Cluster, Signal, Vm};
+use standins::log;
+use standins::upstream::Faults;
+use support::{MS, empty, header, mix, outputs, post, run, send};
+
+const RULES: &str = "call POST /orders to orders class customer deadline 4s retries 2 once # test\n\
+                     call GET /echo to orders class customer deadline 4s # test\n";
+
+/// Failure domains with two upstreams of one service each.
+async fn orders(net: u8, domains: usize, time: Duration) -> Cluster {
+    let mut cluster = empty(net, domains);
+    for place in 0..domains {
+        for number in 1..=2 {
+            cluster.add(
+                Vm::new(&format!("o{place}-{number}"), place, number, "orders").sized(20, time),
+            );
+        }
+    }
+    cluster.start_log(&[]).unwrap();
+    cluster.start_vms().unwrap();
+    let path = cluster.dir().join("rules.txt");
+    std::fs::write(&path, RULES).unwrap();
+    let (path, log) = (path.display().to_string(), cluster.log_address().to_string());
+    let (text, code) =
+        cluster.run(&["publish", "--rules", &path, "--log", &log, "--author", "hana"]).unwrap();
+    assert_eq!(code, 0, "{text}");
+    assert!(cluster.ready().await, "{}", outputs(&cluster));
+    cluster
+}
+
+async fn order(cluster: &Cluster, vm: &Vm, key: &str) -> Answer {
+    send(cluster, vm, post("/orders", key).header("idempotency-key", key), b"oats".to_vec()).await
+}
+
+/// Runs by key over all upstreams that are there.
+async fn runs(cluster: &Cluster) -> BTreeMap<String, u32> {
+    let mut all = BTreeMap::new();
+    for vm in cluster.vms() {
+        for (key, runs) in cluster.witness(vm).await.map(|witness| witness.keys).unwrap_or_default()
+        {
+            *all.entry(key).or_default() += runs;
+        }
+    }
+    all
+}
+
+async fn ticket(cluster: &Cluster, vm: &Vm) -> String {
+    let value =
+        cluster.get(cluster.callers(vm), "/almondknot/ticket?service=orders").await.unwrap();
+    value["ticket"].as_str().unwrap().to_owned()
+}
+
+#[tokio::test]
+async fn a_key_sent_through_every_node_at_once_runs_once_and_all_get_its_answer() {
+    let cluster = orders(81, 2, 50 * MS).await;
+    let vms = cluster.vms().to_vec();
+    for round in 0..5 {
+        let key = format!("order-{round}");
+        let all = vms.iter().chain(&vms).map(|vm| order(&cluster, vm, &key));
+        for answer in futures_util::future::join_all(all).await {
+            let reason = header(&answer, "almondknot-reason").to_owned();
+            assert_eq!(answer.head.status, 200, "{reason}{}", outputs(&cluster));
+            let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+            assert_eq!(body["id"], key.as_str());
+        }
+    }
+    assert!(runs(&cluster).await.values().all(|runs| *runs == 1), "{:?}", runs(&cluster).await);
+}
+
+#[tokio::test]
+async fn a_call_that_must_run_once_needs_a_key() {
+    let cluster = orders(82, 1, 5 * MS).await;
+    let vm = cluster.vms()[0].clone();
+    let answer = send(&cluster, &vm, post("/orders", "x"), vec![]).await;
+    assert_eq!(
+        (answer.head.status.as_u16(), header(&answer, "almondknot-reason")),
+        (400, "key-missing")
+    );
+    let odd =
+        send(&cluster, &vm, post("/orders", "x").header("idempotency-key", "a b"), vec![]).await;
+    assert_eq!((odd.head.status.as_u16(), header(&odd, "almondknot-verdict")), (400, "not-run"));
+}
+
+/// With the log down plain keys have to wait, and tickets go on.
+#[tokio::test]
+async fn tickets_need_no_log() {
+    let cluster = orders(83, 2, 5 * MS).await;
+    let vms = cluster.vms().to_vec();
+    cluster.log_fault(&log::Faults { outage: true, ..log::Faults::default() }).await;
+    let refused = order(&cluster, &vms[0], "plain").await;
+    assert_eq!(
+        (refused.head.status.as_u16(), header(&refused, "almondknot-reason")),
+        (503, "log-unavailable")
+    );
+    let ticket = ticket(&cluster, &vms[0]).await;
+    for vm in vms.iter().chain(&vms) {
+        let answer = order(&cluster, vm, &ticket).await;
+        assert_eq!(answer.head.status, 200, "{}", header(&answer, "almondknot-reason"));
+    }
+    assert_eq!(runs(&cluster).await[&ticket], 1);
+    cluster.log_fault(&log::Faults::default()).await;
+    assert_eq!(order(&cluster, &vms[1], "plain").await.head.status, 200);
+    assert_eq!(runs(&cluster).await["plain"], 1);
+}
+
+/// The answer of an append is lost after the claim is in the log: the claim counts, and counts once.
+#[tokio::test]
+async fn a_claim_whose_answer_was_lost_counts() {
+    let cluster = orders(84, 1, 5 * MS).await;
+    let vms = cluster.vms().to_vec();
+    cluster.log_fault(&log::Faults { lose: 1, ..log::Faults::default() }).await;
+    for vm in [&vms[0], &vms[1]] {
+        assert_eq!(order(&cluster, vm, "lost-answer").await.head.status, 200);
+    }
+    assert_eq!(runs(&cluster).await["lost-answer"], 1);
+}
+
+/// The only node that knows a key is killed: nobody runs the key again, and nobody calls it not run.
+#[tokio::test]
+async fn the_keys_of_a_dead_holder_may_have_run_for_ever() {
+    let mut cluster = orders(85, 2, 5 * MS).await;
+    let vms = cluster.vms().to_vec();
+    let ticket = ticket(&cluster, &vms[0]).await;
+    for key in ["plain", &ticket] {
+        assert_eq!(order(&cluster, &vms[0], key).await.head.status, 200);
+    }
+    let before = runs(&cluster).await;
+    let mut holders = Vec::new();
+    for vm in &vms {
+        if cluster.witness(vm).await.unwrap().keys.keys().any(|key| before.contains_key(key)) {
+            holders.push(vm.clone());
+        }
+    }
+    for vm in &holders {
+        cluster.kill(&format!("node-{}", vm.name));
+    }
+    let alive: Vec<Vm> = vms
+        .iter()
+        .filter(|vm| holders.iter().all(|holder| holder.name != vm.name))
+        .cloned()
+        .collect();
+    let told = async |cluster: &Cluster, entry: &Vm| {
+        for key in ["plain", &ticket] {
+            let answer = order(cluster, entry, key).await;
+            assert!(!answer.head.status.is_success());
+            assert_ne!(
+                header(&answer, "almondknot-verdict"),
+                "not-run",
+                "{}",
+                header(&answer, "almondknot-reason")
+            );
+        }
+    };
+    told(&cluster, &alive[0]).await;
+    for vm in &holders {
+        cluster.start_node(vm).unwrap();
+    }
+    assert!(cluster.ready().await);
+    told(&cluster, &alive[0]).await;
+    told(&cluster, &holders[0]).await;
+    assert_eq!(runs(&cluster).await, before);
+}
+
+/// A holder that is frozen while it runs a key wakes up unaware; meanwhile nobody else ran it.
+#[tokio::test]
+async fn a_frozen_holder_does_no_harm() {
+    let cluster_time = 300 * MS;
+    let mut cluster = orders(86, 1, cluster_time).await;
+    let vms = cluster.vms().to_vec();
+    let first = {
+        let (entry, cluster) = (vms[0].clone(), &cluster);
+        async move { order(cluster, &entry, "frozen").await }
+    };
+    // The first try may be lost with the freeze; whatever it says, the key must not run twice.
+    let _ = tokio::time::timeout(150 * MS, first).await;
+    let mut holder = None;
+    for vm in &vms {
+        if cluster.witness(vm).await.unwrap().started > 0 {
+            holder = Some(vm.clone());
+        }
+    }
+    let holder = holder.expect("the run has started").name;
+    cluster.process(&format!("node-{holder}")).unwrap().signal(Signal::SIGSTOP).unwrap();
+    let other = vms.iter().find(|vm| vm.name != holder).unwrap().clone();
+    let hurried = post("/orders", "frozen")
+        .header("idempotency-key", "frozen")
+        .header("almondknot-deadline-ms", "400");
+    let meanwhile = send(&cluster, &other, hurried, vec![]).await;
+    assert_ne!(header(&meanwhile, "almondknot-verdict"), "not-run");
+    cluster.process(&format!("node-{holder}")).unwrap().signal(Signal::SIGCONT).unwrap();
+    let replayed = cluster
+        .eventually(async |cluster| order(cluster, &other, "frozen").await.head.status == 200)
+        .await;
+    assert!(replayed, "{}", outputs(&cluster));
+    assert_eq!(runs(&cluster).await["frozen"], 1);
+}
+
+/// Callers who leave and send again, under overload, with slow upstreams and lost answers of the log.
+#[tokio::test]
+async fn hard_resending_under_overload_runs_nothing_twice() {
+    let cluster = orders(87, 2, 30 * MS).await;
+    let vms = cluster.vms().to_vec();
+    cluster.log_fault(&log::Faults { lose: 20, delay: 5, ..log::Faults::default() }).await;
+    cluster.fault(&vms[1], &Faults { slow: 20.0, ..Faults::default() }).await;
+    let mut load = mix("POST", "/orders", 3, 400.0);
+    load.keyed = true;
+    load.resend = 4;
+    let summary = run(&cluster, &vms, load).await;
+    assert!(summary.whole > 0);
+    assert_eq!(summary.crossed, 0);
+    let runs = runs(&cluster).await;
+    assert!(
+        runs.values().all(|runs| *runs == 1),
+        "{:?}",
+        runs.iter().filter(|(_, runs)| **runs > 1).collect::<Vec<_>>()
+    );
+    let lied: Vec<&String> = summary.unrun.iter().filter(|id| runs.contains_key(*id)).collect();
+    assert!(lied.is_empty(), "{lied:?}");
+}
