Report to operators, drain by hand, and take the verdict over all tries

Cause of a wrong verdict: a retry that was refused gave its `not-run` to a call whose first try had been lost while it ran. The worst verdict of all tries goes to the caller now, unless the holder of a key knows better; shown by path/the_verdict_is_that_of_all_tries. Also: the report in 40 columns and as a page, a bearer token for the administration API, drain and undrain; entry and shared state split into smaller modules (plan, mailbox).

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -25,8 +25,9 @@
 use tokio::task::LocalSet;
 use units::{Clock, NodeId};
 
+use crate::process::mailbox::Inbox;
 use crate::process::shards::lock;
-use crate::process::shared::{Inbox, Shared};
+use crate::process::shared::Shared;
 use clients::Clients;
 
 /// Time for the last messages of a node that leaves.
--- a/components/node/src/control/claims.rs
+++ b/components/node/src/control/claims.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3;
 
 use super::Control;
-use crate::process::shared::{Ask, Settled};
+use crate::process::mailbox::{Ask, Settled};
 
 const STREAMS: u64 = 8;
 /// Time in which claims are gathered for one append.
--- a/components/node/src/control/suspects.rs
+++ b/components/node/src/control/suspects.rs
@@ -8,8 +8,8 @@
 use units::Clock;
 
 use super::{Control, gossip};
+use crate::process::mailbox::News;
 use crate::process::shards::lock;
-use crate::process::shared::News;
 
 /// Messages that carry a piece of news, besides the first push.
 const REPEATS: u32 = 12;
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -3,8 +3,11 @@
 pub mod admin;
 pub mod announce;
 pub mod gate;
+pub mod ledger;
+pub mod mailbox;
 pub mod members;
 pub mod metrics;
+pub mod report;
 pub mod serve;
 pub mod shards;
 pub mod shared;
--- a/components/node/src/process/admin.rs
+++ b/components/node/src/process/admin.rs
@@ -3,14 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use membership::Member;
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
-use poem::web::{Data, Json};
-use poem::{EndpointExt, Route, get, handler};
+use poem::web::{Data, Html, Json};
+use poem::{Endpoint, EndpointExt, Request, Route, get, handler, post};
 use prometheus::TextEncoder;
 use serde::Serialize;
 use units::{Author, Clock, DomainName, NodeId, ServiceName};
 
+use super::report::Report;
 use super::shards::lock;
 use super::shared::Shared;
 
@@ -65,6 +67,8 @@
     metrics: Arc<dyn Fn() -> String + Send + Sync>,
     rules: Arc<dyn Fn() -> Option<Rules> + Send + Sync>,
     services: Arc<dyn Fn() -> BTreeMap<ServiceName, usize> + Send + Sync>,
+    report: Arc<dyn Fn() -> Report + Send + Sync>,
+    drain: Arc<dyn Fn(bool) + Send + Sync>,
     ready: Arc<dyn Fn() -> bool + Send + Sync>,
 }
 
@@ -74,12 +78,16 @@
     listener: tokio::net::TcpListener,
 ) -> std::io::Result<()> {
     let (for_status, for_metrics, for_ready) = (shared.clone(), shared.clone(), shared.clone());
-    let (for_rules, for_services) = (shared.clone(), shared);
+    let (for_rules, for_services) = (shared.clone(), shared.clone());
+    let (for_report, for_drain) = (shared.clone(), shared.clone());
+    let token = shared.settings.token.clone();
     let api = Api {
         status: Arc::new(move || status(&for_status)),
         metrics: Arc::new(move || metrics(&for_metrics)),
         rules: Arc::new(move || rules(&for_rules)),
         services: Arc::new(move || services(&for_services)),
+        report: Arc::new(move || report(&for_report)),
+        drain: Arc::new(move |wanted| for_drain.drain(wanted)),
         ready: Arc::new(move || for_ready.active().is_some()),
     };
     let app = Route::new()
@@ -88,11 +96,81 @@
         .at("/status", get(status_page))
         .at("/rules", get(rules_page))
         .at("/services", get(services_page))
-        .data(api);
+        .at("/", get(report_page))
+        .at("/report", get(report_text))
+        .at("/drain", post(drain))
+        .at("/undrain", post(undrain))
+        .data(api)
+        .around(move |endpoint, request| guarded(token.clone(), endpoint, request));
     let acceptor = TcpAcceptor::from_tokio(listener)?;
     poem::Server::new_with_acceptor(acceptor).run(app).await
 }
 
+/// Lets a request pass if it bears the token of the settings; probes and scrapes need none.
+async fn guarded<E: Endpoint>(
+    token: Option<String>,
+    endpoint: Arc<E>,
+    request: Request,
+) -> poem::Result<E::Output> {
+    let open = matches!(request.uri().path(), "/healthz" | "/metrics");
+    let bears = |token: &String| {
+        request.header("authorization") == Some(format!("Bearer {token}").as_str())
+    };
+    if open || token.as_ref().is_none_or(bears) {
+        return endpoint.call(request).await;
+    }
+    Err(poem::Error::from_string(
+        "expected `Authorization: Bearer` with the token of the settings",
+        StatusCode::UNAUTHORIZED,
+    ))
+}
+
+#[handler]
+fn report_page(api: Data<&Api>) -> Html<String> {
+    Html((api.report)().page())
+}
+
+#[handler]
+fn report_text(api: Data<&Api>) -> String {
+    (api.report)().lines().join("\n") + "\n"
+}
+
+#[handler]
+fn drain(api: Data<&Api>) -> &'static str {
+    (api.drain)(true);
+    "draining\n"
+}
+
+#[handler]
+fn undrain(api: Data<&Api>) -> &'static str {
+    (api.drain)(false);
+    "taking new work\n"
+}
+
+fn report<C: Clock>(shared: &Shared<C>) -> Report {
+    let active = shared.active();
+    let version = active.map_or("none yet".to_owned(), |active| {
+        let author = active.author.as_ref().map_or("settings", |author| author.as_str());
+        format!("version {} by {author}", active.version)
+    });
+    let table = lock(&shared.table);
+    let gone = |member: &&Member| {
+        !member.is_present() || (member.upstream.is_some() && !member.takes_work())
+    };
+    let leaving = table.all().filter(gone).map(|member| member.node.to_string()).collect();
+    let summaries = lock(&shared.summaries);
+    let lagging = summaries.values().filter(|summary| !summary.lagging.is_empty());
+    Report {
+        node: shared.settings.node.to_string(),
+        version,
+        rows: lock(&shared.ledger).rows(shared.wall()),
+        quarantined: lock(&shared.quarantine).held().map(|(_, entry)| entry.call.clone()).collect(),
+        leaving,
+        lagging: lagging.map(|summary| summary.domain.to_string()).collect(),
+        unlogged: shared.metrics.log_down.get() == 1,
+    }
+}
+
 #[handler]
 fn healthz(api: Data<&Api>) -> (StatusCode, &'static str) {
     if (api.ready)() {
--- a/components/node/src/process/metrics.rs
+++ b/components/node/src/process/metrics.rs
@@ -4,6 +4,8 @@
 use routing::Tier;
 use verdict::{Reason, Verdict};
 
+use super::ledger::Ended;
+
 /// All metrics of one node, in a registry of its own.
 pub struct Metrics {
     registry: Registry,
@@ -88,7 +90,12 @@
     }
 
     /// Counts a call by how it ended.
-    pub fn call(&self, rule: &str, class: rules::Class, outcome: &str) {
+    pub fn call(&self, rule: &str, class: rules::Class, ended: Ended) {
+        let outcome = match ended {
+            Ended::Answered => "answered",
+            Ended::Failed => "failed",
+            Ended::Refused(reason) => reason.as_str(),
+        };
         self.calls.with_label_values(&[rule, class.as_str(), outcome]).inc();
     }
 
--- a/components/node/src/process/serve.rs
+++ b/components/node/src/process/serve.rs
@@ -23,8 +23,8 @@
 use crate::request::attempt::{Head, Trailer, Wire, WireHolder};
 use crate::request::body::Payload;
 use crate::request::context::Header;
-use crate::request::entry::{self, Source};
-use crate::request::{guard, headers};
+use crate::request::plan::Source;
+use crate::request::{entry, guard, headers};
 
 const ANNOUNCE: &str = "/almondknot/announce";
 const TICKET: &str = "/almondknot/ticket";
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,8 @@
 use wire::Summary;
 
 use super::gate::Gate;
+use super::ledger::Ledger;
+use super::mailbox::{Ask, News, Outbox, Settled};
 use super::members::{self, Target, View};
 use super::metrics::Metrics;
 use super::shards::{Shards, lock};
@@ -39,60 +41,9 @@
 /// Slots of an upstream that is not limited, in experiments.
 const NO_LIMIT: u32 = 100_000;
 
-/// What the request path hands to the control traffic.
-pub struct Outbox {
-    /// News of suspects.
-    pub news: mpsc::UnboundedSender<News>,
-    /// Claims of keys.
-    pub claims: mpsc::UnboundedSender<Ask>,
-}
-
-/// What the control traffic is handed by the request path.
-pub struct Inbox {
-    /// News of suspects.
-    pub news: mpsc::UnboundedReceiver<News>,
-    /// Claims of keys.
-    pub claims: mpsc::UnboundedReceiver<Ask>,
-}
-
-/// Both ends of the way from the request path to the control traffic.
-pub fn mailbox() -> (Outbox, Inbox) {
-    let ((news, told), (claims, asked)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
-    (Outbox { news, claims }, Inbox { news: told, claims: asked })
-}
-
-/// A claim of a key.
-pub struct Ask {
-    /// The key.
-    pub key: String,
-    /// Where the answer goes.
-    pub answer: oneshot::Sender<Settled>,
-}
-
-/// Who may run a key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Settled {
-    /// This node.
-    Here,
-    /// This node, which has held it before and has forgotten what became of it.
-    Forgotten,
-    /// Another.
-    Elsewhere(Holder),
-    /// The log can't be asked.
-    Unavailable,
-}
-
 /// Longest time that the answer to a suspect waits until others know of it.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// News of a suspect on its way to other nodes.
-pub struct News {
-    /// The news.
-    pub told: Told,
-    /// Told when the first others know.
-    pub done: Option<oneshot::Sender<()>>,
-}
-
 /// The upstream beside this node, as it last announced itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Announced {
@@ -138,6 +89,8 @@
     pub fold: Mutex<Fold>,
     /// Summaries of failure domains, as far as they are known here.
     pub summaries: Mutex<BTreeMap<DomainName, Summary>>,
+    /// What became of the calls of the last hour.
+    pub ledger: Mutex<Ledger>,
     /// When an operator last asked for the status.
     pub asked: Mutex<Option<Instant>>,
     /// Wakes the control traffic after a change of this node's own record.
@@ -152,6 +105,8 @@
     pub claims: mpsc::UnboundedSender<Ask>,
     /// News of suspects for the control traffic to tell.
     pub news: mpsc::UnboundedSender<News>,
+    /// An operator took the upstream out of service.
+    drained: AtomicBool,
     epoch: AtomicU64,
     active: RwLock<Option<Arc<Active>>>,
     view: RwLock<Arc<View>>,
@@ -180,6 +135,7 @@
             table: Mutex::new(Table::new(own, config)),
             fold: Mutex::default(),
             summaries: Mutex::default(),
+            ledger: Mutex::default(),
             asked: Mutex::default(),
             changed: Notify::new(),
             stopping: watch::Sender::new(false),
@@ -187,6 +143,7 @@
             once: Once::new(settings.bounds.window),
             claims: outbox.claims,
             news: outbox.news,
+            drained: AtomicBool::new(false),
             epoch: AtomicU64::new(wall.as_millis() as u64),
             active: RwLock::new(None),
             view: RwLock::default(),
@@ -370,7 +327,9 @@
         self.configure();
         match announced.draining {
             true => self.gate.drain(now + LINGER),
-            false if !*self.stopping.borrow() => self.gate.undrain(),
+            false if !*self.stopping.borrow() && !self.drained.load(Ordering::Relaxed) => {
+                self.gate.undrain()
+            }
             false => {}
         }
         self.publish_upstream();
@@ -392,6 +351,17 @@
         silent
     }
 
+    /// Takes the upstream out of service, or back in, as an operator wishes.
+    pub fn drain(&self, drain: bool) {
+        self.drained.store(drain, Ordering::Relaxed);
+        match drain {
+            true => self.gate.drain(self.clock.now() + LINGER),
+            false if !*self.stopping.borrow() => self.gate.undrain(),
+            false => {}
+        }
+        self.publish_upstream();
+    }
+
     /// Says that this node stops; its guard refuses new work once others have had time to hear.
     pub fn begin_stop(&self) {
         self.stopping.send_replace(true);
@@ -401,7 +371,7 @@
 
     /// Makes the upstream known to others, once there are rules to guard it by.
     fn publish_upstream(&self) {
-        let stopping = *self.stopping.borrow();
+        let stopping = *self.stopping.borrow() || self.drained.load(Ordering::Relaxed);
         let announced = self.announced().filter(|_| self.active().is_some());
         let serving = announced.map(|announced| Serving {
             state: if announced.draining || stopping { State::Draining } else { State::Serving },
--- a/components/node/src/process/start.rs
+++ b/components/node/src/process/start.rs
@@ -14,8 +14,9 @@
 use tokio::task::JoinHandle;
 use units::Clock;
 
+use super::mailbox;
 use super::serve::{self, Side};
-use super::shared::{LINGER, Shared, mailbox};
+use super::shared::{LINGER, Shared};
 use super::{admin, announce};
 use crate::control;
 use crate::version::Active;
@@ -82,7 +83,7 @@
     /// Starts a node: it listens when this returns.
     pub async fn start(settings: Settings, clock: C, log: impl Log) -> Result<Self, Error> {
         let listen = settings.listen.clone();
-        let (outbox, inbox) = mailbox();
+        let (outbox, inbox) = mailbox::open();
         let shared = Arc::new(Shared::new(settings, clock, outbox)?);
         if let Some(active) = bootstrap(&shared)? {
             shared.activate(active);
--- a/components/node/src/request.rs
+++ b/components/node/src/request.rs
@@ -10,3 +10,4 @@
 pub mod hold;
 pub mod once;
 pub mod parent;
+pub mod plan;
--- a/components/node/src/request/attempt.rs
+++ b/components/node/src/request/attempt.rs
@@ -134,16 +134,8 @@
         .map(|Wire(report)| report)
         .unwrap_or_default();
     if let Some(refusal) = refusal(&parts.headers) {
-        let mut peer = target.peer();
-        peer.reported(report, now);
-        if matches!(refusal.reason, Reason::Overloaded | Reason::Draining) {
-            peer.refused(now);
-        }
-        let lethal = parts.headers.contains_key(&headers::LETHAL);
-        let settled = parts.headers.contains_key(&headers::SETTLED);
-        let holder =
-            headers::parse(&parts.headers, &headers::HOLDER).map(|WireHolder(holder)| holder);
-        return Err(Failed { refusal, trailer, lethal, holder, settled });
+        refused(target, &refusal, report, now);
+        return Err(failed(refusal, trailer, &parts.headers));
     }
     target.peer().answered(report, now.saturating_duration_since(started), now);
     headers::strip_internal(&mut parts.headers);
@@ -151,6 +143,25 @@
     Ok(Answer { head: parts, body: Payload::answer(incoming, hold), trailer })
 }
 
+/// Notes what a refusal says of the node's load.
+fn refused(target: &Target, refusal: &Refusal, report: Report, now: std::time::Instant) {
+    let mut peer = target.peer();
+    peer.reported(report, now);
+    if matches!(refusal.reason, Reason::Overloaded | Reason::Draining) {
+        peer.refused(now);
+    }
+}
+
+fn failed(refusal: Refusal, trailer: Trailer, map: &HeaderMap) -> Failed {
+    Failed {
+        refusal,
+        trailer,
+        lethal: map.contains_key(&headers::LETHAL),
+        holder: headers::parse(map, &headers::HOLDER).map(|WireHolder(holder)| holder),
+        settled: map.contains_key(&headers::SETTLED),
+    }
+}
+
 fn request<C: Clock>(
     shared: &Shared<C>,
     context: &Context,
--- a/components/node/src/request/guard.rs
+++ b/components/node/src/request/guard.rs
@@ -12,11 +12,11 @@
 use super::attempt::{Answer, Failed, Head, Trailer, Tried};
 use super::body::Payload;
 use super::context::Context;
-use super::entry;
 use super::headers;
 use super::hold::{Hold, Run};
 use super::once;
 use super::parent::{Parent, Token};
+use super::plan;
 use crate::connection::peers::SendError;
 use crate::connection::upstream::Pool;
 use crate::process::gate::Entry;
@@ -122,7 +122,7 @@
 fn below_key<C: Clock>(shared: &Shared<C>, head: &Head) -> u64 {
     let active = shared.active();
     let rule = active.as_ref().and_then(|active| active.rules.find(&head.method, head.path.path()));
-    rule.map_or(0, |rule| entry::rule_key(rule, &head.method))
+    rule.map_or(0, |rule| plan::rule_key(rule, &head.method))
 }
 
 /// Whether a service that the upstream calls for such requests would refuse the tree later.
--- a/components/node/src/request/once.rs
+++ b/components/node/src/request/once.rs
@@ -18,9 +18,10 @@
 use super::attempt::{Answer, Failed, Head, Trailer, Tried};
 use super::body::Payload;
 use super::context::Context;
-use super::{entry, guard};
+use super::{guard, plan};
+use crate::process::mailbox::Settled;
 use crate::process::shards::lock;
-use crate::process::shared::{Settled, Shared};
+use crate::process::shared::Shared;
 
 /// Largest answer that is kept.
 const LARGEST_KEPT: usize = 64 << 10;
@@ -74,7 +75,7 @@
     head: &Head,
     body: Payload<C>,
 ) -> Tried<C> {
-    let Some(key) = entry::key(head) else {
+    let Some(key) = plan::key(head) else {
         return Err(refusal(shared, Verdict::NotRun, Reason::KeyMissing));
     };
     if key.is_older(shared.once.window, shared.wall()) {
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -18,8 +18,38 @@
     if settings.version == 0 {
         return wrong("version", "0 is not a version (expected 1)".to_owned());
     }
+    distinct(path, &settings.listen)?;
+    remembered(path, settings)?;
+    if settings.bounds.replay > settings.bounds.body {
+        return wrong(
+            "bounds.replay",
+            format!(
+                "`{}` is over bounds.body (expected at most `{}`)",
+                settings.bounds.replay, settings.bounds.body
+            ),
+        );
+    }
+    if settings.bounds.depth == 0 || settings.bounds.depth > DEEPEST {
+        return wrong(
+            "bounds.depth",
+            format!("`{}` (expected 1 to {DEEPEST})", settings.bounds.depth),
+        );
+    }
+    if settings.control.probe < SHORTEST_PROBE {
+        return wrong(
+            "control.probe",
+            format!("`{}` (expected at least `10ms`)", units::span::format(settings.control.probe)),
+        );
+    }
+    Ok(())
+}
+
+/// Checks that each listener has an address of its own that others can reach.
+fn distinct(path: &Path, listen: &Listen) -> Result<(), Error> {
+    let wrong =
+        |field: &str, what: String| Err(Error::Field(path.to_owned(), field.to_owned(), what));
     let mut seen: HashMap<SocketAddr, &str> = HashMap::new();
-    for (field, address) in addresses(&settings.listen) {
+    for (field, address) in addresses(listen) {
         if address.port() == 0 || address.ip().is_unspecified() {
             return wrong(
                 field,
@@ -35,21 +65,13 @@
             );
         }
     }
-    if settings.bounds.replay > settings.bounds.body {
-        return wrong(
-            "bounds.replay",
-            format!(
-                "`{}` is over bounds.body (expected at most `{}`)",
-                settings.bounds.replay, settings.bounds.body
-            ),
-        );
-    }
-    if settings.bounds.depth == 0 || settings.bounds.depth > DEEPEST {
-        return wrong(
-            "bounds.depth",
-            format!("`{}` (expected 1 to {DEEPEST})", settings.bounds.depth),
-        );
-    }
+    Ok(())
+}
+
+/// Checks that a claim of a key stays in the log longer than the key is remembered.
+fn remembered(path: &Path, settings: &Settings) -> Result<(), Error> {
+    let wrong =
+        |field: &str, what: String| Err(Error::Field(path.to_owned(), field.to_owned(), what));
     if let Some(log) =
         settings.log.as_ref().filter(|log| log.retention / 2 < settings.bounds.window)
     {
@@ -62,12 +84,6 @@
             ),
         );
     }
-    if settings.control.probe < SHORTEST_PROBE {
-        return wrong(
-            "control.probe",
-            format!("`{}` (expected at least `10ms`)", units::span::format(settings.control.probe)),
-        );
-    }
     Ok(())
 }
 
--- a/components/settings/tests/settings.rs
+++ b/components/settings/tests/settings.rs
@@ -66,6 +66,21 @@
     expect_that!(span, all!(contains_substring("control.probe"), contains_substring("fast")));
 }
 
+#[gtest]
+fn a_key_may_not_be_remembered_longer_than_its_claim_is_kept() {
+    let window = |window: &str| {
+        error(|value| {
+            value["log"] = json!({ "address": "127.0.0.1:7", "retention": "1h" });
+            value["bounds"] = json!({ "window": window });
+        })
+    };
+    expect_that!(window("30m"), eq("no error"));
+    expect_that!(
+        window("31m"),
+        all!(contains_substring("bounds.window"), contains_substring("at most half of `1h`"))
+    );
+}
+
 #[gtest]
 fn a_newer_form_is_refused_before_its_unknown_fields() {
     let newer = error(|value| {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -51,6 +51,15 @@
     /// Show the state of a node and of the failure domains it knows of.
     #[command(after_help = "Example:\n  almondknot status --node 127.0.0.1:7105")]
     Status(StatusArgs),
+    /// Show what the nodes did in the last hour, and why, in 40 columns.
+    #[command(
+        after_help = "Example:\n  almondknot report --node 127.0.0.1:7105 --node 127.0.0.1:7205"
+    )]
+    Report(NodesArgs),
+    /// Take the upstream of a node out of service.
+    Drain(NodesArgs),
+    /// Take the upstream of a node back into service.
+    Undrain(NodesArgs),
     /// Put load on a system as an experiment file says.
     #[command(after_help = "Example:\n  almondknot load --experiment examples/dala/overload.json")]
     Load(LoadArgs),
@@ -128,17 +137,34 @@
     /// Administration address of any node, to wait until the rules are in force.
     #[arg(long)]
     pub node: Option<SocketAddr>,
+    /// Bearer token of the administration API.
+    #[arg(long)]
+    pub token: Option<String>,
     /// Longest time to wait until the rules are in force.
     #[arg(long, default_value = "12s", value_parser = units::span::parse)]
     pub wait: Duration,
 }
 
+/// Nodes to ask.
+#[derive(Debug, Args)]
+pub struct NodesArgs {
+    /// Administration address of a node; may be repeated.
+    #[arg(long, required = true)]
+    pub node: Vec<SocketAddr>,
+    /// Bearer token of the administration API.
+    #[arg(long)]
+    pub token: Option<String>,
+}
+
 /// Arguments of `status`.
 #[derive(Debug, Args)]
 pub struct StatusArgs {
     /// Administration address of a node.
     #[arg(long)]
     pub node: SocketAddr,
+    /// Bearer token of the administration API.
+    #[arg(long)]
+    pub token: Option<String>,
     /// Print JSON.
     #[arg(long)]
     pub json: bool,
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -7,6 +7,7 @@
 mod get;
 mod load;
 mod node;
+mod operate;
 mod publish;
 mod status;
 mod watch;
@@ -25,6 +26,9 @@
         Command::Watch(args) => watch::run(&args),
         Command::Audit(args) => audit::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Report(args) => operate::report(&args),
+        Command::Drain(args) => operate::drain(&args),
+        Command::Undrain(args) => operate::undrain(&args),
         Command::Load(args) => load::run(&args),
         Command::Completions { shell } => completions::run(shell),
     }
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -69,9 +69,9 @@
             display("conflict: version {} is in force, and the rules were made from another; look at it, merge, \
                      and publish with `--base {}`", current, current)
         }
-        /// The log refused the record.
+        /// What was asked for was refused.
         Refused(why: String) {
-            display("not published: {}", why)
+            display("refused: {}", why.trim_end())
         }
         /// Nobody knows whether the record is in the log.
         Lost(id: String) {
--- a/src/cmd/get.rs
+++ b/src/cmd/get.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+pub use http::Method;
+use http::{StatusCode, header};
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -15,25 +17,50 @@
 const TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Asks for a JSON document.
-pub async fn json(address: SocketAddr, path: &str) -> Result<Value, Error> {
+pub async fn json(address: SocketAddr, path: &str, token: Option<&str>) -> Result<Value, Error> {
+    let text = text(address, Method::GET, path, token).await?;
+    serde_json::from_str(&text).map_err(|err| Error::Unreachable(address, err.to_string()))
+}
+
+/// Asks for a text.
+pub async fn text(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    token: Option<&str>,
+) -> Result<String, Error> {
     let unreachable = |why: String| Error::Unreachable(address, why);
-    let asked = tokio::time::timeout(TIMEOUT, exchange(address, path)).await;
-    let body =
+    let asked = tokio::time::timeout(TIMEOUT, exchange(address, method, path, token)).await;
+    let answer =
         asked.map_err(|_| unreachable("it took too long".to_owned()))?.map_err(unreachable)?;
-    serde_json::from_slice(&body).map_err(|err| unreachable(err.to_string()))
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    if answer.status == StatusCode::OK { Ok(text) } else { Err(Error::Refused(text)) }
+}
+
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
 }
 
-async fn exchange(address: SocketAddr, path: &str) -> Result<Bytes, String> {
+async fn exchange(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    token: Option<&str>,
+) -> Result<Answer, String> {
     let stream = TcpStream::connect(address).await.map_err(|err| err.to_string())?;
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|err| err.to_string())?;
     let driver = tokio::spawn(connection);
-    let request = http::Request::get(path)
-        .header(http::header::HOST, address.to_string())
-        .body(Empty::<Bytes>::new())
-        .map_err(|err| err.to_string())?;
+    let mut request =
+        http::Request::builder().method(method).uri(path).header(header::HOST, address.to_string());
+    if let Some(token) = token {
+        request = request.header(header::AUTHORIZATION, format!("Bearer {token}"));
+    }
+    let request = request.body(Empty::<Bytes>::new()).map_err(|err| err.to_string())?;
     let response = sender.send_request(request).await.map_err(|err| err.to_string())?;
+    let status = response.status();
     let body = response.into_body().collect().await.map_err(|err| err.to_string())?;
     driver.abort();
-    Ok(body.to_bytes())
+    Ok(Answer { status, body: body.to_bytes() })
 }
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -88,7 +88,7 @@
     let Some(node) = args.node else { return Ok(ExitCode::SUCCESS) };
     let started: Instant = SystemClock.now();
     loop {
-        let status = get::json(node, "/status").await?;
+        let status = get::json(node, "/status", args.token.as_deref()).await?;
         let behind = behind(&status, version);
         if behind.is_empty() {
             println!("in force everywhere after {:.1} s", started.elapsed().as_secs_f64());
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -10,7 +10,7 @@
 
 /// Prints the status, 40 columns wide, or as JSON.
 pub fn run(args: &StatusArgs) -> Result<ExitCode, Error> {
-    let status = runtime()?.block_on(get::json(args.node, "/status"))?;
+    let status = runtime()?.block_on(get::json(args.node, "/status", args.token.as_deref()))?;
     if args.json {
         println!("{status:#}");
         return Ok(ExitCode::SUCCESS);
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -1,5 +1,11 @@
 //! A request with a key runs at most once, counted where it runs: in the upstream.
 
+#![allow(
+    clippy::unwrap_used,
+    clippy::too_many_lines,
+    reason = "a test stops at what it did not expect"
+)]
+
 mod support;
 
 use std::collections::BTreeMap;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -253,3 +253,42 @@
     let distinct: HashSet<(u16, bool)> = answers.into_iter().collect();
     assert_eq!(distinct, HashSet::from([(200, true)]));
 }
+
+/// A try that may have run is not made undone by a later one that did not.
+#[tokio::test]
+async fn the_verdict_is_that_of_all_tries() {
+    let vms = vec![
+        Vm::new("entry", 0, 1, "other"),
+        Vm::new("a", 0, 2, "echo").sized(4, 5_000 * MS),
+        Vm::new("b", 0, 3, "echo"),
+    ];
+    let rules = "call GET /echo to echo class customer deadline 9s retries 1 # test\n\
+                 service echo retry-ratio 100% # test\n";
+    let mut cluster = system(52, rules, vms).await;
+    let vms = cluster.vms().to_vec();
+    cluster.fault(&vms[2], &Faults { refuse: 1.0, ..Faults::default() }).await;
+    let mut lost = 0;
+    // Which of the two is tried first is chance; both orders have to come out the same.
+    for round in 0..6 {
+        let before = cluster.witness(&vms[1]).await.unwrap().started;
+        let url = format!("http://{}/echo", cluster.callers(&vms[0]));
+        let request = tokio::spawn(async move {
+            let request = http::Request::get(url).body(http_body_util::Full::default()).unwrap();
+            standins::client::send(&standins::client::new(), request).await.unwrap().unwrap()
+        });
+        let started = async |cluster: &standins::cluster::Cluster| {
+            cluster.witness(&vms[1]).await.is_some_and(|witness| witness.started > before)
+        };
+        assert!(
+            cluster.eventually(started).await,
+            "round {round}: the first upstream was not tried"
+        );
+        cluster.kill("node-a");
+        let answer = request.await.unwrap();
+        assert_eq!(header(&answer, "almondknot-verdict"), "may-have-run", "round {round}");
+        lost += 1;
+        cluster.start_node(&vms[1]).unwrap();
+        assert!(cluster.ready().await);
+    }
+    assert_eq!(lost, 6);
+}
