Make the test of the verdict over all tries show the fault it is for

With an allowance of 1 the lost try took the whole allowance with it, so that no second try followed and the test passed with the mechanism off as well.

--- a/tests/path.rs
+++ b/tests/path.rs
@@ -262,7 +262,7 @@
         Vm::new("a", 0, 2, "echo").sized(4, 5_000 * MS),
         Vm::new("b", 0, 3, "echo"),
     ];
-    let rules = "call GET /echo to echo class customer deadline 9s retries 1 # test\n\
+    let rules = "call GET /echo to echo class customer deadline 9s retries 2 # test\n\
                  service echo retry-ratio 100% # test\n";
     let mut cluster = system(52, rules, vms).await;
     let vms = cluster.vms().to_vec();
