--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 use units::{Clock, NodeId};
 
 use crate::process::mailbox::Inbox;
@@ -41,6 +42,8 @@
     random: RefCell<ChaCha8Rng>,
     /// Peer that a configuration is being pulled from.
     pulling: Cell<bool>,
+    /// When this node last pulled a domain whose digest differed.
+    repaired: Cell<Instant>,
     /// Suspects that ride on gossip messages.
     suspects: RefCell<suspects::Outbox>,
 }
@@ -81,6 +84,7 @@
         clients: Clients::new(shared.settings.listen.control.ip(), read, written),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         pulling: Cell::new(false),
+        repaired: Cell::new(Instant::now()),
         suspects: RefCell::default(),
         shared,
         log,
--- a/components/node/src/control/exchange.rs
+++ b/components/node/src/control/exchange.rs
@@ -7,6 +7,7 @@
 use capnp::Error;
 use journal::Log;
 use membership::Member;
+use tokio::time::Instant;
 use units::{Clock, DomainName, Version};
 use wire::{Summary, read_members};
 
@@ -17,6 +18,8 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Time that an operator's question keeps the summaries of a node fresh.
 const INTEREST: Duration = Duration::from_secs(30);
+/// Least time between two repairs, which bounds their bytes.
+const REPAIR_GAP: Duration = Duration::from_secs(4);
 /// Nodes that a summary names.
 const LAGGING: usize = 3;
 
@@ -97,6 +100,10 @@
     from: SocketAddr,
     theirs: Vec<(DomainName, u64)>,
 ) {
+    let now = Instant::now();
+    if now < control.repaired.get() + REPAIR_GAP {
+        return;
+    }
     let differing: Vec<DomainName> = {
         let table = lock(&control.shared.table);
         if table.backlog() > 0 {
@@ -109,7 +116,9 @@
             .map(|(domain, _)| domain)
             .collect()
     };
-    for domain in differing {
+    // One domain at a time: after a mass start all differ, and the repair may not cost more than its share.
+    for domain in differing.into_iter().take(1) {
+        control.repaired.set(now);
         if let Ok(members) = pull(control, from, Some(&domain)).await {
             gossip::absorb(control, members);
         }
--- a/components/node/src/process.rs
+++ b/components/node/src/process.rs
@@ -12,5 +12,6 @@
 pub mod shards;
 pub mod shared;
 mod start;
+pub mod upstream;
 
 pub use start::{Error, Node, Stopped};
--- a/components/node/src/process/announce.rs
+++ b/components/node/src/process/announce.rs
@@ -10,7 +10,8 @@
 use units::Clock;
 
 use super::shards::lock;
-use super::shared::{Announced, Shared};
+use super::shared::Shared;
+use super::upstream::Announced;
 use crate::request::body::Payload;
 
 /// Time without an announcement after which the upstream counts as gone.
--- a/components/node/src/process/serve.rs
+++ b/components/node/src/process/serve.rs
@@ -19,7 +19,8 @@
 use units::{Clock, ServiceName};
 use verdict::{Reason, Refusal};
 
-use super::shared::{Announced, Shared};
+use super::shared::Shared;
+use super::upstream::Announced;
 use crate::request::attempt::{Head, Trailer, Wire, WireHolder};
 use crate::request::body::Payload;
 use crate::request::context::Header;
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -1,22 +1,20 @@
 //! State of the process that all tasks share.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use journal::Fold;
 use limits::{Config, Learned};
-use membership::{Member, Serving, State, Status, Table};
+use membership::{Serving, State, Table};
 use quarantine::{Fingerprint, Told};
 use reservation::Holder;
 use retries::Bucket;
 use routing::{Candidate, LinkBudget};
-use rules::ServiceRule;
 use settings::{LimitKind, Settings};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use units::{Clock, DomainName, Incarnation, ServiceName, Version};
+use units::{Clock, DomainName, Incarnation, ServiceName};
 use wire::Summary;
 
 use super::gate::Gate;
@@ -25,6 +23,7 @@
 use super::members::{self, Target, View};
 use super::metrics::Metrics;
 use super::shards::{Shards, lock};
+use super::upstream::{Announced, own_record, unannounced};
 use crate::connection::peers::Links;
 use crate::connection::upstream::Pool;
 use crate::request::once::Once;
@@ -44,23 +43,6 @@
 /// Longest time that the answer to a suspect waits until others know of it.
 const TELL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The upstream beside this node, as it last announced itself.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Announced {
-    /// Service it belongs to.
-    pub service: ServiceName,
-    /// Address it serves on.
-    pub address: SocketAddr,
-    /// Requests it runs at once.
-    pub slots: u32,
-    /// Connections it takes.
-    pub connections: u32,
-    /// Path of its load report.
-    pub load: Option<String>,
-    /// It takes no more work.
-    pub draining: bool,
-}
-
 /// State of the process.
 pub struct Shared<C: Clock> {
     /// Settings of the node.
@@ -406,28 +388,3 @@
         Config { slots, queue: rule.queue, adaptive: limit == LimitKind::Adaptive, levels }
     }
 }
-
-/// What the guard goes by until the upstream announces itself.
-fn unannounced() -> Config {
-    Config { slots: 1, queue: ServiceRule::default().queue, adaptive: true, levels: true }
-}
-
-fn own_record(settings: &Settings, incarnation: Incarnation) -> Member {
-    let listen = (settings.listen.peers, settings.listen.control);
-    let (peers, control) = settings
-        .advertise
-        .as_ref()
-        .map_or(listen, |advertise| (advertise.peers, advertise.control));
-    Member {
-        node: settings.node.clone(),
-        domain: settings.domain.clone(),
-        region: settings.region.clone(),
-        incarnation,
-        serial: 0,
-        status: Status::Alive,
-        peers,
-        control,
-        upstream: None,
-        version: Version(0),
-    }
-}
--- a/components/node/src/request/guard.rs
+++ b/components/node/src/request/guard.rs
@@ -20,7 +20,8 @@
 use crate::connection::peers::SendError;
 use crate::connection::upstream::Pool;
 use crate::process::gate::Entry;
-use crate::process::shared::{Announced, Shared};
+use crate::process::shared::Shared;
+use crate::process::upstream::Announced;
 
 /// Serves a call at the upstream beside this node.
 pub async fn serve<C: Clock>(
--- a/components/standins/src/upstream/handle.rs
+++ b/components/standins/src/upstream/handle.rs
@@ -69,13 +69,19 @@
         return answer(StatusCode::BAD_GATEWAY, &serde_json::json!({ "whole": false }));
     };
     lock(&upstream.witness).finished += 1;
-    let body = serde_json::json!({
+    let mut body = serde_json::json!({
         "id": id,
         "service": upstream.plan.service,
         "size": size,
         "children": children,
         "whole": true,
     });
+    if header(head, "standin-echo").is_some() {
+        let seen = head.headers.iter().map(|(name, value)| {
+            (name.to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned().into())
+        });
+        body["headers"] = serde_json::Value::Object(seen.collect());
+    }
     answer(StatusCode::OK, &body)
 }
 
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -292,3 +292,37 @@
     }
     assert_eq!(lost, 6);
 }
+
+/// Headers of one hop stay behind, trace headers pass, and nobody outside can write this system's own.
+#[tokio::test]
+async fn headers_are_passed_on_as_a_gateway_should() {
+    let vms = vec![Vm::new("entry", 0, 1, "other"), Vm::new("a", 0, 2, "echo")];
+    let cluster = system(53, ECHO, vms).await;
+    let trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let request = get("/echo", "1")
+        .header("standin-echo", "1")
+        .header("traceparent", trace)
+        .header("connection", "x-private")
+        .header("x-private", "1")
+        .header("te", "trailers")
+        .header("baggage", "tenant=7, almondknot=forged-1")
+        .header("almondknot-context", "forged")
+        .header("almondknot-class", "forged");
+    let answer = send(&cluster, &cluster.vms()[0], request, vec![]).await;
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    let seen = &body["headers"];
+    assert_eq!(seen["traceparent"], trace);
+    assert_eq!(seen["x-forwarded-for"], "127.0.0.1");
+    assert_eq!(seen["via"], "1.1 almondknot");
+    assert_eq!(seen["almondknot-class"], "customer");
+    let baggage = seen["baggage"].as_str().unwrap();
+    assert!(
+        baggage.starts_with("tenant=7,almondknot=") && !baggage.contains("forged"),
+        "{baggage}"
+    );
+    assert!(seen["almondknot-deadline-ms"].as_str().unwrap().parse::<u64>().unwrap() <= 5_000);
+    for gone in ["x-private", "te", "almondknot-context", "connection"] {
+        assert!(seen[gone].is_null(), "{gone} was passed on: {seen}");
+    }
+    assert!(header(&answer, "almondknot-level").is_empty());
+}
