--- a/components/bench/src/system.rs
+++ b/components/bench/src/system.rs
@@ -187,17 +187,7 @@
 pub fn mix(name: &str, method: &str, path: &str, phases: &[(u64, f64)]) -> Mix {
     let phase =
         |(until, rate): &(u64, f64)| Phase { until: Duration::from_secs(*until), rate: *rate };
-    Mix {
-        name: name.to_owned(),
-        method: method.to_owned(),
-        path: path.to_owned(),
-        body: 0,
-        keyed: false,
-        resend: 0,
-        crash: false,
-        entries: None,
-        phases: phases.iter().map(phase).collect(),
-    }
+    Mix::new(name, method, path, phases.iter().map(phase).collect())
 }
 
 /// An experiment with every node, but those of one service, as an entry.
--- a/components/load/src/experiment.rs
+++ b/components/load/src/experiment.rs
@@ -73,6 +73,23 @@
     }
 }
 
+impl Mix {
+    /// Plain requests of one kind.
+    pub fn new(name: &str, method: &str, path: &str, phases: Vec<Phase>) -> Self {
+        Self {
+            name: name.to_owned(),
+            method: method.to_owned(),
+            path: path.to_owned(),
+            body: 0,
+            keyed: false,
+            resend: 0,
+            crash: false,
+            entries: None,
+            phases,
+        }
+    }
+}
+
 impl Experiment {
     /// Time of the last arrival.
     pub fn end(&self) -> Duration {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -76,15 +76,5 @@
 
 /// A mix with one rate for some seconds.
 pub fn mix(method: &str, path: &str, seconds: u64, rate: f64) -> Mix {
-    Mix {
-        name: "mix".to_owned(),
-        method: method.to_owned(),
-        path: path.to_owned(),
-        body: 0,
-        keyed: false,
-        resend: 0,
-        crash: false,
-        entries: None,
-        phases: vec![Phase { until: Duration::from_secs(seconds), rate }],
-    }
+    Mix::new("mix", method, path, vec![Phase { until: Duration::from_secs(seconds), rate }])
 }
