Write down that a key is held once, where it is settled

The claims task already wrote it down for plain keys before it told anybody; the request path did so a second time. It does so for tickets only now.

--- a/components/node/src/request/once.rs
+++ b/components/node/src/request/once.rs
@@ -105,15 +105,16 @@
 /// Gets hold of a key, or says who has it.
 async fn hold<C: Clock>(shared: &Arc<Shared<C>>, key: &Key) -> Result<(), Failed> {
     let settled = match key {
-        Key::Ticket { holder, .. } if *holder == shared.holder() => Settled::Here,
+        Key::Ticket { holder, .. } if *holder == shared.holder() => {
+            shared.once.hold(key, shared.clock.now());
+            Settled::Here
+        }
         Key::Ticket { holder, .. } => Settled::Elsewhere(holder.clone()),
         Key::Plain(text) => shared.claim(text).await,
     };
     match settled {
-        Settled::Here => {
-            shared.once.hold(key, shared.clock.now());
-            Ok(())
-        }
+        // Whoever settled it has written it down.
+        Settled::Here => Ok(()),
         // Another request with the key was told so a moment ago, or the window has passed.
         Settled::Forgotten if shared.once.holds(key) => Ok(()),
         Settled::Forgotten => Err(refusal(shared, Verdict::MayHaveRun, Reason::HolderGone)),
