Run on the users' platform: the mesh node and its adapter

A second way to run the node, for deployments whose configuration and members are kept in a metadata store: components/mesh has the decisions and the path, platform/ alone knows the platform's names, deploy/ says how it is started.

--- /dev/null
+++ b/components/mesh/src/connection.rs
@@ -0,0 +1,4 @@
+//! What lives for a connection.
+
+pub mod pool;
+pub mod socket;
--- /dev/null
+++ b/components/mesh/src/decide.rs
@@ -0,0 +1,10 @@
+//! Decisions as functions of state, event and time, without network, tasks or a clock of their own.
+
+pub mod admission;
+pub mod budget;
+pub mod choose;
+pub mod family;
+pub mod members;
+pub mod meter;
+pub mod queue;
+pub mod split;
--- /dev/null
+++ b/components/mesh/src/decide/choose.rs
@@ -0,0 +1,117 @@
+//! Which node of a service a request is sent to.
+
+use std::time::{Duration, Instant};
+
+use super::queue::Load;
+
+/// Time a failed node is avoided at first, and the longest.
+const FIRST_REST: Duration = Duration::from_millis(300);
+const LONGEST_REST: Duration = Duration::from_secs(3);
+/// Time after which a report of load says nothing more.
+const STALE: Duration = Duration::from_millis(1_500);
+/// What it is worth, in time, not to leave the failure domain, or the region: bytes over these links are paid for.
+const ZONE_COST: Duration = Duration::from_millis(6);
+const REGION_COST: Duration = Duration::from_millis(120);
+/// Cost of a node that is avoided: it is used only if all are.
+const AVOIDED: Duration = Duration::from_secs(60);
+
+/// How far away a node is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    /// In the same failure domain.
+    Zone,
+    /// In another failure domain of the region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// What this node knows of another as a place to send requests to.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    report: Load,
+    at: Instant,
+    inflight: u32,
+    reported: u32,
+    failures: u32,
+    rests: Option<Instant>,
+}
+
+impl Peer {
+    /// A peer of which nothing is known.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            report: Load::default(),
+            at: now,
+            inflight: 0,
+            reported: 0,
+            failures: 0,
+            rests: None,
+        }
+    }
+
+    /// A request was sent.
+    pub fn sent(&mut self) {
+        self.inflight += 1;
+    }
+
+    /// A request has ended.
+    pub fn ended(&mut self) {
+        self.inflight = self.inflight.saturating_sub(1);
+    }
+
+    /// It reported its load.
+    pub fn reported(&mut self, load: Load, now: Instant) {
+        self.report = load;
+        self.at = now;
+        self.reported = self.inflight;
+    }
+
+    /// Others told of its load, which may be older than what it reported itself.
+    pub fn heard(&mut self, load: Load, now: Instant) {
+        if now.saturating_duration_since(self.at) > STALE || self.report.limit == 0 {
+            self.reported(load, now);
+        }
+    }
+
+    /// Whether it is avoided after a failure.
+    pub fn rests(&self, now: Instant) -> bool {
+        self.rests.is_some_and(|until| now < until)
+    }
+
+    /// It answered.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+        self.rests = None;
+    }
+
+    /// It could not be reached, or the connection was lost.
+    pub fn failed(&mut self, now: Instant) {
+        let rest = FIRST_REST.saturating_mul(1 << self.failures.min(6)).min(LONGEST_REST);
+        self.failures += 1;
+        self.rests = Some(now + rest);
+    }
+
+    fn wait(&self, now: Instant) -> Duration {
+        if self.report.limit == 0 {
+            return Duration::ZERO;
+        }
+        let fresh = now.saturating_duration_since(self.at) < STALE;
+        let known = if fresh { self.report.running + self.report.waiting } else { 0 };
+        let since = self.inflight.saturating_sub(if fresh { self.reported } else { 0 });
+        let over = (known + since + 1).saturating_sub(self.report.limit);
+        let turn = f64::from(self.report.held) / 1e6 / f64::from(self.report.limit);
+        Duration::from_secs_f64(f64::from(over) * turn)
+    }
+
+    /// Cost of sending a request there, as time.
+    pub fn cost(&self, tier: Tier, avoid: bool, now: Instant) -> Duration {
+        let place = match tier {
+            Tier::Zone => Duration::ZERO,
+            Tier::Region => ZONE_COST,
+            Tier::Far => REGION_COST,
+        };
+        let avoid = avoid || self.rests(now);
+        self.wait(now) + place + if avoid { AVOIDED } else { Duration::ZERO }
+    }
+}
--- /dev/null
+++ b/components/mesh/src/process/upstream.rs
@@ -0,0 +1,108 @@
+//! The upstream beside this node, as it announces itself.
+
+use std::time::{Duration, Instant};
+
+use crate::decide::members::Standing;
+use crate::platform::{Announcement, Beat, State};
+
+/// Beats that are missed before another incarnation is believed whatever its start.
+const SILENT_BEATS: u32 = 3;
+/// Time after an upstream said that it leaves in which requests that were on their way are still let in.
+const LINGER: Duration = Duration::from_millis(700);
+
+/// What an announcement changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// It is late, or of an earlier incarnation.
+    Old,
+    /// A new incarnation.
+    Started,
+    /// Slots or state.
+    Updated,
+}
+
+/// The upstream as far as it is known.
+#[derive(Debug)]
+pub struct Upstream {
+    beat: Option<Beat>,
+    heard: Instant,
+    leaving: Option<Instant>,
+    every: Duration,
+}
+
+impl Upstream {
+    /// Nothing is known of it; it announces itself every so often.
+    pub fn new(every: Duration, now: Instant) -> Self {
+        Self { beat: None, heard: now, leaving: None, every }
+    }
+
+    /// Takes an announcement.
+    pub fn take(&mut self, announcement: Announcement, now: Instant) -> Change {
+        match announcement {
+            Announcement::Beat(beat) => self.beat(beat, now),
+            Announcement::Leave { id } => {
+                if self.beat.as_ref().is_none_or(|known| known.id != id) {
+                    return Change::Old;
+                }
+                self.leave(now)
+            }
+        }
+    }
+
+    /// Whether it takes work.
+    pub fn standing(&self) -> Standing {
+        match (&self.beat, self.leaving) {
+            (None, _) => Standing::Unknown,
+            (Some(_), None) => Standing::Ready,
+            (Some(_), Some(_)) => Standing::Leaving,
+        }
+    }
+
+    /// Its id, if a request may be sent to it now.
+    pub fn pin(&self, now: Instant) -> Option<&Beat> {
+        let open = self.leaving.is_none_or(|since| now < since + LINGER);
+        self.beat.as_ref().filter(|_| open)
+    }
+
+    /// Its last announcement.
+    pub fn known(&self) -> Option<&Beat> {
+        self.beat.as_ref()
+    }
+
+    fn beat(&mut self, beat: Beat, now: Instant) -> Change {
+        let Some(known) = &self.beat else { return self.start(beat, now) };
+        if (&known.id, known.born) != (&beat.id, beat.born) {
+            let silent = now.saturating_duration_since(self.heard) > self.every * SILENT_BEATS;
+            let later = beat.born > known.born;
+            return if later || silent { self.start(beat, now) } else { Change::Old };
+        }
+        if beat.sequence <= known.sequence {
+            return Change::Old;
+        }
+        self.heard = now;
+        let leaves = beat.state == State::Draining && self.leaving.is_none();
+        let changed = leaves || beat.slots != known.slots;
+        if leaves {
+            self.leaving = Some(now);
+        }
+        self.beat = Some(beat);
+        if changed { Change::Updated } else { Change::None }
+    }
+
+    fn start(&mut self, beat: Beat, now: Instant) -> Change {
+        self.heard = now;
+        self.leaving = (beat.state == State::Draining).then_some(now);
+        self.beat = Some(beat);
+        Change::Started
+    }
+
+    fn leave(&mut self, now: Instant) -> Change {
+        if self.leaving.is_some() {
+            return Change::None;
+        }
+        self.leaving = Some(now);
+        Change::Updated
+    }
+}
--- /dev/null
+++ b/components/mesh/src/request/call.rs
@@ -0,0 +1,183 @@
+//! What a call carries from the entry to the guard, beside the request itself.
+
+use std::fmt;
+use std::str;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::header::{self, HeaderName};
+use http::{HeaderMap, HeaderValue, Method};
+use units::ParseError;
+
+/// Header that carries a [`Call`] to another node.
+pub const CALL: HeaderName = HeaderName::from_static("almondknot-call");
+/// Header that carries what became of it.
+pub const OUTCOME: HeaderName = HeaderName::from_static("almondknot-outcome");
+/// Header that carries the load of the upstream.
+pub const LOAD: HeaderName = HeaderName::from_static("almondknot-load");
+
+const WANTED: &str = "a call";
+
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::TRAILER,
+    header::UPGRADE,
+];
+
+/// What is inherited from the root request by all calls of its tree.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Root {
+    /// Route of the root request.
+    pub route: Arc<str>,
+    /// Its rank.
+    pub rank: u8,
+    /// When its answer loses worth.
+    pub due: Instant,
+}
+
+/// A call on its way to a guard.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// The root request.
+    pub root: Root,
+    /// Service that runs it.
+    pub service: Arc<str>,
+    /// Service of the machine where it began.
+    pub caller: Arc<str>,
+    /// When its caller is gone, or has to have an answer.
+    pub until: Instant,
+    /// Longest wait for a slot that the entry accepts here.
+    pub patience: Duration,
+    /// Running it twice does no harm.
+    pub idempotent: bool,
+}
+
+impl Call {
+    /// Time left.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.until.saturating_duration_since(now)
+    }
+
+    /// The form in which it travels: spans of time, as clocks differ.
+    pub fn header(&self, now: Instant) -> Header {
+        let due = self.root.due.saturating_duration_since(now).as_millis() as u64;
+        let late = now.saturating_duration_since(self.root.due).as_millis() as u64;
+        Header {
+            service: self.service.clone(),
+            caller: self.caller.clone(),
+            route: self.root.route.clone(),
+            rank: self.root.rank,
+            due: due as i64 - late as i64,
+            left: self.left(now).as_millis() as u64,
+            patience: self.patience.as_millis() as u64,
+            idempotent: self.idempotent,
+        }
+    }
+}
+
+/// A call as a header.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Header {
+    service: Arc<str>,
+    caller: Arc<str>,
+    route: Arc<str>,
+    rank: u8,
+    due: i64,
+    left: u64,
+    patience: u64,
+    idempotent: bool,
+}
+
+impl Header {
+    /// The call at this node.
+    pub fn call(self, now: Instant) -> Call {
+        let span = Duration::from_millis(self.due.unsigned_abs());
+        let due = if self.due < 0 { now.checked_sub(span).unwrap_or(now) } else { now + span };
+        Call {
+            root: Root { route: self.route, rank: self.rank, due },
+            service: self.service,
+            caller: self.caller,
+            until: now + Duration::from_millis(self.left),
+            patience: Duration::from_millis(self.patience),
+            idempotent: self.idempotent,
+        }
+    }
+}
+
+impl fmt::Display for Header {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { service, caller, route, rank, due, left, patience, idempotent } = self;
+        let idempotent = u8::from(*idempotent);
+        write!(out, "{service};{caller};{route};{rank};{due};{left};{patience};{idempotent}")
+    }
+}
+
+impl str::FromStr for Header {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        read(text).ok_or_else(|| ParseError::Expected(text.to_owned(), WANTED))
+    }
+}
+
+fn read(text: &str) -> Option<Header> {
+    let mut parts = text.split(';');
+    let header = Header {
+        service: parts.next()?.into(),
+        caller: parts.next()?.into(),
+        route: parts.next()?.into(),
+        rank: parts.next()?.parse().ok()?,
+        due: parts.next()?.parse().ok()?,
+        left: parts.next()?.parse().ok()?,
+        patience: parts.next()?.parse().ok()?,
+        idempotent: parts.next()? == "1",
+    };
+    parts.next().is_none().then_some(header)
+}
+
+/// Method, path and headers of a request, without those of one connection.
+#[derive(Debug, Clone)]
+pub struct Head {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: http::uri::PathAndQuery,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Id of the attempt.
+    pub id: HeaderValue,
+}
+
+/// Removes headers that concern one connection only (RFC 9110, section 7.6.1), and the nodes' own.
+pub fn strip(headers: &mut HeaderMap) {
+    if headers.contains_key(header::CONNECTION) {
+        let listed: Vec<HeaderName> = headers
+            .get_all(header::CONNECTION)
+            .iter()
+            .filter_map(|value| value.to_str().ok())
+            .flat_map(|value| value.split(','))
+            .filter_map(|name| name.trim().parse().ok())
+            .collect();
+        for name in listed {
+            headers.remove(name);
+        }
+    }
+    for name in HOP_BY_HOP.iter().chain([&CALL, &OUTCOME, &LOAD, &header::EXPECT]) {
+        headers.remove(name);
+    }
+}
+
+/// Parses the text of a header.
+pub fn parse<T: str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Sets a header from something that prints as plain text.
+pub fn set(headers: &mut HeaderMap, name: HeaderName, value: impl fmt::Display) {
+    if let Ok(value) = HeaderValue::try_from(value.to_string()) {
+        headers.insert(name, value);
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -33,6 +33,9 @@
         after_help = "Example:\n  almondknot node --settings examples/dala/almaty-a-catalog.json"
     )]
     Node(NodeArgs),
+    /// Run the node beside an upstream on a platform with a metadata store.
+    #[command(after_help = "Example:\n  almondknot mesh --settings boot.json")]
+    Mesh(MeshArgs),
     /// Check rules and settings without running anything.
     #[command(
         after_help = "Example:\n  almondknot check --rules rules.txt --settings a.json b.json"
@@ -70,6 +73,14 @@
     },
 }
 
+/// Arguments of `mesh`.
+#[derive(Debug, Args)]
+pub struct MeshArgs {
+    /// Settings file; the one that the platform names in the environment where it is not given.
+    #[arg(long)]
+    pub settings: Option<PathBuf>,
+}
+
 /// Arguments of `node`.
 #[derive(Debug, Args)]
 pub struct NodeArgs {
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -6,6 +6,7 @@
 mod error;
 mod get;
 mod load;
+mod mesh;
 mod node;
 mod operate;
 mod publish;
@@ -21,6 +22,7 @@
 pub fn run(command: Command) -> Result<ExitCode, Error> {
     match command {
         Command::Node(args) => node::run(&args),
+        Command::Mesh(args) => mesh::run(&args),
         Command::Check(args) => check::run(&args),
         Command::Publish(args) => publish::run(&args),
         Command::Watch(args) => watch::run(&args),
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -43,6 +43,18 @@
             source(err)
             from()
         }
+        /// A node on a platform with a metadata store can't start.
+        StartMesh(err: ::mesh::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The settings that the platform wrote are wrong.
+        Platform(err: ::platform::SettingsError) {
+            display("{}", err)
+            source(err)
+            from()
+        }
         /// The logger can't start.
         Logger(err: flexi_logger::FlexiLoggerError) {
             display("{}", err)
@@ -88,8 +100,8 @@
     /// The exit code that the command line's help gives for it.
     pub fn code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Settings(_) | Self::File(..) | Self::Rules(..) | Self::Experiment(_) => BAD_FILE,
-            Self::Start(::node::Error::Listen(..)) | Self::Unreachable(..) | Self::Log(_) => {
+            Self::Settings(_) | Self::Platform(_) | Self::File(..) | Self::Rules(..) | Self::Experiment(_) => BAD_FILE,
+            Self::Start(::node::Error::Listen(..)) | Self::StartMesh(_) | Self::Unreachable(..) | Self::Log(_) => {
                 BAD_ADDRESS
             }
             Self::Start(_) => BAD_FILE,
--- /dev/null
+++ b/src/cmd/mesh.rs
@@ -0,0 +1,60 @@
+//! `almondknot mesh`: the daemon beside an upstream on the users' platform.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use mesh::Node;
+use mesh::process::events::Sink;
+use platform::{Adapter, Settings, Store};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{self, SignalKind};
+use units::SystemClock;
+
+use super::error::Error;
+use crate::cli::MeshArgs;
+
+/// Runs a node until it is told to stop.
+pub fn run(args: &MeshArgs) -> Result<ExitCode, Error> {
+    let path = match &args.settings {
+        Some(path) => path.clone(),
+        None => platform::settings::path()?,
+    };
+    let settings = platform::settings::read(&path)?;
+    runtime(settings.place().cores)?.block_on(serve(path, settings))
+}
+
+fn runtime(cores: usize) -> Result<Runtime, Error> {
+    let runtime = match cores {
+        0 | 1 => Builder::new_current_thread().enable_all().build(),
+        more => Builder::new_multi_thread().worker_threads(more).enable_all().build(),
+    };
+    runtime.map_err(Error::Runtime)
+}
+
+async fn serve(path: PathBuf, settings: Settings) -> Result<ExitCode, Error> {
+    let place = settings.place();
+    let sink = Sink::stdout(Arc::clone(&place.node));
+    let mut term = unix::signal(SignalKind::terminate()).map_err(Error::Runtime)?;
+    let mut int = unix::signal(SignalKind::interrupt()).map_err(Error::Runtime)?;
+    let mut hup = unix::signal(SignalKind::hangup()).map_err(Error::Runtime)?;
+    let adapter = Adapter::new(SystemClock, Store::new(settings.store()));
+    let node = Node::start(adapter, place, sink).await?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => reload(&node, &path),
+        }
+    }
+    let left = node.stop().await;
+    Ok(if left == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Reads the settings again. A file that can't be read changes nothing.
+fn reload(node: &Node<Adapter<SystemClock>>, path: &Path) {
+    match platform::settings::read(path) {
+        Ok(settings) => node.reloaded(&settings.place()),
+        Err(err) => eprintln!("almondknot: settings not reloaded: {err}"),
+    }
+}
