Plan admission from slots in use, tie calls by deadline, send sums between regions

Now shares follow from slots in use and from the part let in, both of one pulse; routes that never come to some service's nodes are calls and always let in; regions exchange sums, once a second.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choose;
+pub mod demand;
 pub mod family;
 pub mod members;
 pub mod meter;
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -59,8 +59,8 @@
     pub beat: u64,
     /// Requests that run, wait and may run, and the time a slot is held.
     pub load: (u32, u32, u32, u32),
-    /// Root requests that came to this node, a second.
-    pub offered: Rates,
+    /// Requests that came to this node from callers and its upstream, a second.
+    pub came: Rates,
     /// Root requests that it let in, a second.
     pub admitted: Rates,
     /// Slots of its upstream that are taken, by the route of the root request.
@@ -76,7 +76,7 @@
 }
 
 /// A node with its last pulse.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Member {
     /// The record.
     pub record: Record,
@@ -84,10 +84,27 @@
     pub pulse: Pulse,
 }
 
+/// What one node tells another of a third.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// Name of the node.
+    pub node: Arc<str>,
+    /// Life of its process.
+    pub life: u64,
+    /// The record, if it changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub record: Option<Record>,
+    /// The pulse, for readers in the same region.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pulse: Option<Pulse>,
+}
+
 #[derive(Debug)]
 struct Entry {
     member: Member,
+    /// Revision of the last news, and of the last that changed the record.
     revision: u64,
+    changed: u64,
     heard: Instant,
     /// The node that told of it last, which needs not be told.
     source: Option<Arc<str>>,
@@ -119,50 +136,51 @@
     pub fn new(own: Record, now: Instant) -> Self {
         let name = own.node.clone();
         let member = Member { record: own, pulse: Pulse::default() };
-        let entry = Entry { member, revision: 1, heard: now, source: None };
+        let entry = Entry { member, revision: 1, changed: 1, heard: now, source: None };
         Self { own: name.clone(), entries: BTreeMap::from([(name, entry)]), revision: 1 }
     }
 
     /// Takes news of a node from another one, or from the store.
-    pub fn merge(&mut self, news: Member, source: Option<&Arc<str>>, now: Instant) -> News {
-        let Some(entry) = self.entries.get_mut(&news.record.node) else {
-            self.revision += 1;
-            let node = news.record.node.clone();
-            let entry = Entry {
-                member: news,
-                revision: self.revision,
-                heard: now,
-                source: source.cloned(),
-            };
-            self.entries.insert(node, entry);
+    pub fn merge(&mut self, told: Told, source: Option<&Arc<str>>, now: Instant) -> News {
+        let revision = self.revision + 1;
+        let Some(entry) = self.entries.get_mut(&told.node) else {
+            // Without a record nobody knows where it is; the next exchange with somebody else brings it.
+            let Some(record) = told.record else { return News::Old };
+            let member = Member { record, pulse: told.pulse.unwrap_or_default() };
+            let source = source.cloned();
+            let entry = Entry { member, revision, changed: revision, heard: now, source };
+            self.entries.insert(told.node, entry);
+            self.revision = revision;
             return News::Changed;
         };
-        let known = &entry.member;
-        if news.record.node == self.own {
-            let later = news.record.life > known.record.life;
-            return if later { News::Overtaken(news.record.life) } else { News::Old };
+        let known = &mut entry.member;
+        if told.node == self.own {
+            let later = told.life > known.record.life;
+            return if later { News::Overtaken(told.life) } else { News::Old };
         }
-        let newer = (news.record.life, news.record.serial) > (known.record.life, known.record.serial);
-        let fresher = (news.record.life, news.pulse.beat) > (known.record.life, known.pulse.beat);
-        if news.record.life < known.record.life || !(newer || fresher) {
+        let reborn = told.life > known.record.life;
+        if told.life < known.record.life || (reborn && told.record.is_none()) {
             return News::Old;
         }
-        self.revision += 1;
-        entry.revision = self.revision;
+        let newer = told.record.filter(|record| reborn || record.serial > known.record.serial);
+        let fresher = told.pulse.filter(|pulse| reborn || pulse.beat > known.pulse.beat);
+        if newer.is_none() && fresher.is_none() {
+            return News::Old;
+        }
+        entry.revision = revision;
         entry.heard = now;
         entry.source = source.cloned();
-        if news.record.life > known.record.life {
-            entry.member = news;
-            return News::Changed;
-        }
-        if fresher {
-            entry.member.pulse = news.pulse;
+        self.revision = revision;
+        if reborn {
+            known.pulse = Pulse::default();
         }
-        if newer {
-            entry.member.record = news.record;
-            return News::Changed;
+        if let Some(pulse) = fresher {
+            known.pulse = pulse;
         }
-        News::Pulse
+        let Some(record) = newer else { return News::Pulse };
+        known.record = record;
+        entry.changed = revision;
+        News::Changed
     }
 
     /// Changes this node's own record.
@@ -176,6 +194,7 @@
         }
         entry.member.record.serial += 1;
         entry.revision = revision;
+        entry.changed = revision;
         self.revision = revision;
         true
     }
@@ -195,17 +214,42 @@
         self.entries.get(&self.own).map(|entry| &entry.member)
     }
 
+    /// A node.
+    pub fn get(&self, node: &str) -> Option<&Member> {
+        self.entries.get(node).map(|entry| &entry.member)
+    }
+
     /// Number of the last change.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// What has changed after a revision, but for what `reader` itself told.
-    pub fn since(&self, revision: u64, reader: &str) -> Vec<Member> {
-        let changed = self.entries.values().filter(|entry| {
-            entry.revision > revision && entry.source.as_deref() != Some(reader)
+    /// What has changed after a revision, but for what `reader` itself told; pulses only if it is `near`.
+    pub fn since(&self, revision: u64, reader: &str, near: bool) -> Vec<Told> {
+        let own_region = self.own().map(|own| own.record.region.clone());
+        let news = self.entries.iter().filter_map(|(node, entry)| {
+            let Member { record, pulse } = &entry.member;
+            if entry.revision <= revision || entry.source.as_deref() == Some(reader) {
+                return None;
+            }
+            let here = Some(&record.region) == own_region.as_ref();
+            let changed = (entry.changed > revision).then(|| record.clone());
+            let pulse = (near && here && pulse.beat > 0).then(|| pulse.clone());
+            let told = changed.is_some() || pulse.is_some();
+            let (node, life) = (node.clone(), record.life);
+            told.then_some(Told { node, life, record: changed, pulse })
         });
-        changed.map(|entry| entry.member.clone()).collect()
+        news.collect()
+    }
+
+    /// Another region's delegate vouches for its nodes, but for the silent ones.
+    pub fn vouched(&mut self, region: &str, silent: &[Arc<str>], now: Instant) {
+        for entry in self.entries.values_mut() {
+            let record = &entry.member.record;
+            if *record.region == *region && !silent.contains(&record.node) {
+                entry.heard = now;
+            }
+        }
     }
 
     /// Every node, and whether it has been silent for long.
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -22,27 +22,110 @@
 #[serde(tag = "event", rename_all = "kebab-case")]
 #[allow(missing_docs, reason = "docs/OPERATIONS.md lists every event with its fields")]
 pub enum Event<'a> {
-    Started { zone: &'a str, service: &'a str, life: u64 },
-    Stopping { running: u32, waiting: u32 },
-    Stopped { left: usize },
-    Reloaded { changed: bool },
-    ConfigurationTaken { version: u64, from: &'a str },
-    ConfigurationRefused { from: &'a str, why: &'a str },
-    StoreLost { why: &'a str },
-    StoreRegained { after_ms: u64 },
-    UpstreamChanged { id: &'a str, standing: &'a str, slots: u32, sequence: u64 },
-    AnnouncementRefused { why: &'a str },
-    MemberChanged { member: &'a str, life: u64, serial: u64, standing: &'a str, from: &'a str },
-    PeerLost { peer: &'a str, why: &'a str },
-    ReadyChanged { ready: bool, why: &'a str },
-    PlanChanged { shares: String, version: u64 },
-    Refused { id: &'a str, route: &'a str, why: &'a str, share: f64, after_ms: u64, tries: u32, version: u64 },
-    Unrouted { id: &'a str, host: &'a str, path: &'a str, version: u64 },
-    Retried { id: &'a str, route: &'a str, from: &'a str, why: &'a str, left_ms: u64 },
-    Failed { id: &'a str, route: &'a str, at: &'a str, why: &'a str, status: u16, version: u64 },
-    Turned { id: &'a str, why: &'a str, running: u32, waiting: u32, limit: u32, wait_ms: u64 },
-    Broken { id: &'a str, upstream: &'a str, why: &'a str, after_ms: u64 },
-    Woke { stood_ms: u64 },
+    Started {
+        zone: &'a str,
+        service: &'a str,
+        life: u64,
+    },
+    Stopping {
+        running: u32,
+        waiting: u32,
+    },
+    Stopped {
+        left: usize,
+    },
+    Reloaded {
+        changed: bool,
+    },
+    ConfigurationTaken {
+        version: u64,
+        from: &'a str,
+    },
+    ConfigurationRefused {
+        from: &'a str,
+        why: &'a str,
+    },
+    StoreLost {
+        why: &'a str,
+    },
+    StoreRegained {
+        after_ms: u64,
+    },
+    UpstreamChanged {
+        id: &'a str,
+        standing: &'a str,
+        slots: u32,
+        sequence: u64,
+    },
+    AnnouncementRefused {
+        why: &'a str,
+    },
+    MemberChanged {
+        member: &'a str,
+        life: u64,
+        serial: u64,
+        standing: &'a str,
+        from: &'a str,
+    },
+    PeerLost {
+        peer: &'a str,
+        why: &'a str,
+    },
+    ReadyChanged {
+        ready: bool,
+        why: &'a str,
+    },
+    PlanChanged {
+        shares: String,
+        version: u64,
+    },
+    Refused {
+        id: &'a str,
+        route: &'a str,
+        why: &'a str,
+        share: f64,
+        after_ms: u64,
+        tries: u32,
+        version: u64,
+    },
+    Unrouted {
+        id: &'a str,
+        host: &'a str,
+        path: &'a str,
+        version: u64,
+    },
+    Retried {
+        id: &'a str,
+        route: &'a str,
+        from: &'a str,
+        why: &'a str,
+        left_ms: u64,
+    },
+    Failed {
+        id: &'a str,
+        route: &'a str,
+        at: &'a str,
+        why: &'a str,
+        status: u16,
+        version: u64,
+    },
+    Turned {
+        id: &'a str,
+        why: &'a str,
+        running: u32,
+        waiting: u32,
+        limit: u32,
+        wait_ms: u64,
+    },
+    Broken {
+        id: &'a str,
+        upstream: &'a str,
+        why: &'a str,
+        after_ms: u64,
+    },
+    Woke {
+        stood_ms: u64,
+    },
 }
 
 #[derive(Serialize)]
@@ -92,8 +175,7 @@
     /// Writes an event, unless there is no room for it.
     pub fn tell(&self, event: &Event<'_>, now: Instant, wall: SystemTime) {
         let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
-        let passed =
-            allowance.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let passed = allowance.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         allowance.at = Some(now);
         allowance.bytes = (allowance.bytes + passed.as_secs_f64() * BYTES).min(BURST);
         if allowance.bytes <= 0.0 {
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -1,9 +1,10 @@
 //! What nodes tell each other: records, measurements, suspects, and the configuration to those that lack it.
 //!
-//! Each node exchanges what has changed with the delegate of its failure domain; delegates exchange with each other.
-//! Everybody works out the delegate from what it knows, so two nodes that differ only send a few messages more.
+//! Each node exchanges what has changed with the delegate of its failure domain, these with the delegate of the
+//! region, and these with each other, once in two rounds and only sums: bytes between regions are dear. Everybody
+//! works out the delegates from what it knows, so two nodes that differ only send a few messages more.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -13,12 +14,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use quarantine::{Death, Fingerprint, Told};
 use serde::{Deserialize, Serialize};
-use units::NodeId;
+use units::{Clock, NodeId};
 
 use super::events::Event;
 use super::plan;
-use super::shared::{Shared, lock};
-use crate::decide::members::{Member, Record};
+use super::shared::{Shared, Summary, lock};
+use crate::decide::demand::Demand;
+use crate::decide::members::{self, Record};
 use crate::platform::Platform;
 use crate::request::peer::LINK_FRESH;
 
@@ -29,6 +31,10 @@
 const EVERY: Duration = Duration::from_millis(500);
 /// Least time between two exchanges after urgent news, so that news that comes in clumps goes together.
 const GATHER: Duration = Duration::from_millis(40);
+/// Rounds after which delegates of regions exchange.
+const FAR: u64 = 2;
+/// Time after which the sums of another region count no more.
+const OLD: Duration = Duration::from_secs(8);
 /// Exchanges after which one goes to a node picked at random, so that parts that lost each other meet again.
 const STRAY: u64 = 10;
 /// Longest time for one exchange.
@@ -59,7 +65,10 @@
     /// Life of the reader, and revision of its table, that the sender has seen.
     seen: (u64, u64),
     version: u64,
-    members: Vec<Member>,
+    region: Arc<str>,
+    members: Vec<members::Told>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    regions: BTreeMap<Arc<str>, Summary>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     suspects: Vec<Suspect>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -105,7 +114,7 @@
 /// Answers another node's part of an exchange; none if it can't be read.
 pub fn answer<P: Platform>(shared: &Arc<Shared<P>>, body: &[u8]) -> Option<Vec<u8>> {
     let message: Message = serde_json::from_slice(body).ok()?;
-    let (reader, seen) = (message.from.clone(), message.seen);
+    let (reader, region, seen) = (message.from.clone(), message.region.clone(), message.seen);
     let lacks = message.version;
     let cursor = {
         let table = lock(&shared.table);
@@ -121,7 +130,7 @@
     } else if lacks > shared.version() {
         shared.urgent.notify_one();
     }
-    serde_json::to_vec(&compose(shared, &reader, cursor)).ok()
+    serde_json::to_vec(&compose(shared, &reader, &region, cursor)).ok()
 }
 
 async fn one<P: Platform>(shared: &Arc<Shared<P>>, cursors: &mut Cursors, target: &Record) {
@@ -129,7 +138,7 @@
     if cursor.life != target.life {
         *cursor = Cursor { life: target.life, ..Cursor::default() };
     }
-    let message = compose(shared, &target.node, *cursor);
+    let message = compose(shared, &target.node, &target.region, *cursor);
     let revision = message.revision;
     let Ok(body) = serde_json::to_vec(&message) else { return };
     let sent = tokio::time::timeout(PATIENCE, send(shared, target, body)).await;
@@ -146,8 +155,7 @@
     shared.peer(&target.node, |peer| peer.answered());
     shared.oriented.store(true, Ordering::Relaxed);
     let known = answer.version;
-    *cursor =
-        Cursor { life: answer.life, seen: answer.revision, sent: revision, version: known };
+    *cursor = Cursor { life: answer.life, seen: answer.revision, sent: revision, version: known };
     absorb(shared, answer);
     if known < shared.version() {
         shared.urgent.notify_one();
@@ -172,7 +180,14 @@
     serde_json::from_slice(&bytes).map_err(|err| err.to_string())
 }
 
-fn compose<P: Platform>(shared: &Shared<P>, reader: &Arc<str>, cursor: Cursor) -> Message {
+fn compose<P: Platform>(
+    shared: &Shared<P>,
+    reader: &Arc<str>,
+    region: &Arc<str>,
+    cursor: Cursor,
+) -> Message {
+    let near = *region == shared.place.region;
+    let regions = summaries(shared, region, near);
     let active = shared.active();
     let version = active.as_ref().map_or(0, |active| active.version);
     // A reader whose version was never heard gets it when it has said that it lacks it.
@@ -187,7 +202,9 @@
         revision: table.revision(),
         seen: (cursor.life, cursor.seen),
         version,
-        members: table.since(cursor.sent, reader),
+        region: shared.place.region.clone(),
+        members: table.since(cursor.sent, reader, near),
+        regions,
         suspects: recent.filter_map(suspect).collect(),
         configuration: source.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok()),
     }
@@ -201,14 +218,17 @@
 fn absorb<P: Platform>(shared: &Shared<P>, message: Message) {
     let now = shared.now();
     let source = message.from;
-    for member in message.members {
-        let record = member.record.clone();
-        let load = (member.pulse.beat > 0).then(|| member.pulse.load());
-        let news = lock(&shared.table).merge(member, Some(&source), now);
+    for told in message.members {
+        let node = told.node.clone();
+        let load = told.pulse.as_ref().map(|pulse| pulse.load());
+        let news = lock(&shared.table).merge(told, Some(&source), now);
         if let Some(load) = load {
-            shared.peer(&record.node, |peer| peer.heard(load, now));
+            shared.peer(&node, |peer| peer.heard(load, now));
         }
-        shared.noted(news, &record, &source);
+        shared.noted(news, &node, &source);
+    }
+    for (region, summary) in message.regions {
+        hear(shared, region, summary, now);
     }
     for suspect in message.suspects {
         learn(shared, suspect, now);
@@ -218,13 +238,53 @@
     }
 }
 
+/// Takes the sums of another region.
+fn hear<P: Platform>(shared: &Shared<P>, region: Arc<str>, summary: Summary, now: Instant) {
+    let mut regions = lock(&shared.regions);
+    let newer = regions.get(&region).is_none_or(|known| known.stamp < summary.stamp);
+    if region != shared.place.region && newer {
+        lock(&shared.table).vouched(&region, &summary.silent, now);
+        regions.insert(region, summary);
+    }
+}
+
+/// Sums for a reader: of this region for other regions, of other regions for this one.
+fn summaries<P: Platform>(
+    shared: &Shared<P>,
+    reader: &Arc<str>,
+    near: bool,
+) -> BTreeMap<Arc<str>, Summary> {
+    if near {
+        return lock(&shared.regions).clone();
+    }
+    let mut demand = Demand::default();
+    let mut silent = Vec::new();
+    for (member, is_silent) in lock(&shared.table).all(shared.now()) {
+        if member.record.region != shared.place.region {
+            continue;
+        }
+        if is_silent {
+            silent.push(member.record.node.clone());
+        } else {
+            demand.add(member);
+        }
+    }
+    let mut regions = lock(&shared.regions).clone();
+    regions.remove(reader);
+    regions.insert(shared.place.region.clone(), Summary { stamp: stamp(shared), demand, silent });
+    regions
+}
+
+/// Time of day in milliseconds.
+fn stamp<P: Platform>(shared: &Shared<P>) -> u64 {
+    let wall = shared.platform.clock().wall();
+    wall.duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 fn learn<P: Platform>(shared: &Shared<P>, suspect: Suspect, now: Instant) {
     let death = Death { node: suspect.node, epoch: suspect.epoch };
-    let told = Told {
-        fingerprint: Fingerprint(suspect.print),
-        death: Some(death),
-        call: String::new(),
-    };
+    let told =
+        Told { fingerprint: Fingerprint(suspect.print), death: Some(death), call: String::new() };
     let mut all = lock(&shared.told);
     if !all.contains(&told) {
         lock(&shared.suspects).merge(&told, now);
@@ -250,9 +310,24 @@
     shared.links.sweep(LINK_FRESH, now);
 }
 
+/// Demand everywhere: of this region's nodes, and the sums of other regions.
+fn demand<P: Platform>(shared: &Shared<P>) -> Demand {
+    let mut demand = Demand::default();
+    for (member, silent) in lock(&shared.table).all(shared.now()) {
+        if !silent && member.record.region == shared.place.region {
+            demand.add(member);
+        }
+    }
+    let oldest = stamp(shared).saturating_sub(OLD.as_millis() as u64);
+    for summary in lock(&shared.regions).values().filter(|summary| summary.stamp > oldest) {
+        demand.merge(&summary.demand);
+    }
+    demand
+}
+
 /// Works the shares out anew.
 fn replan<P: Platform>(shared: &Shared<P>) {
-    let demand = plan::demand(lock(&shared.table).all(shared.now()));
+    let demand = demand(shared);
     let ranks = shared.ranks();
     let mut own = lock(&shared.plan);
     let before = plan::describe(&own.admission, &ranks);
@@ -266,35 +341,44 @@
 
 /// The nodes to exchange with in this round.
 fn targets<P: Platform>(shared: &Shared<P>, round: u64, now: Instant) -> Vec<Record> {
-    let table = lock(&shared.table);
-    let mut delegates: HashMap<Arc<str>, Record> = HashMap::new();
+    let own = &shared.place;
+    let mut zones: BTreeMap<Arc<str>, Record> = BTreeMap::new();
     let mut others = Vec::new();
     {
+        let table = lock(&shared.table);
         let peers = lock(&shared.peers);
         for (member, silent) in table.all(now) {
             let record = &member.record;
-            let rests = peers.get(&record.node).is_some_and(|peer| peer.rests(now));
-            if record.node != shared.place.node {
+            let is_own = record.node == own.node;
+            if !is_own {
                 others.push(record.clone());
             }
-            if silent || rests {
-                continue;
-            }
-            let least = delegates.get(&record.zone);
-            if least.is_none_or(|known| record.node < known.node) {
-                delegates.insert(record.zone.clone(), record.clone());
+            let rests = peers.get(&record.node).is_some_and(|peer| peer.rests(now));
+            if is_own || !(silent || rests) {
+                // Nodes come in the order of their names, and the first is the delegate.
+                zones.entry(record.zone.clone()).or_insert_with(|| record.clone());
             }
         }
     }
-    let own = &shared.place;
-    let is_own = delegates.get(&own.zone).is_some_and(|delegate| delegate.node == own.node);
-    let mut targets: Vec<Record> = if is_own {
-        delegates.into_values().filter(|delegate| delegate.node != own.node).collect()
+    let mut regions: BTreeMap<Arc<str>, Record> = BTreeMap::new();
+    for delegate in zones.values() {
+        regions.entry(delegate.region.clone()).or_insert_with(|| delegate.clone());
+    }
+    let leads = |delegate: Option<&Record>| delegate.is_some_and(|one| one.node == own.node);
+    let mut targets = if !leads(zones.get(&own.zone)) {
+        zones.remove(&own.zone).into_iter().collect()
+    } else if !leads(regions.get(&own.region)) {
+        regions.remove(&own.region).into_iter().collect()
+    } else if round.is_multiple_of(FAR) {
+        regions.into_values().filter(|delegate| delegate.node != own.node).collect()
     } else {
-        delegates.remove(&own.zone).into_iter().collect()
+        Vec::new()
     };
-    if (round.is_multiple_of(STRAY) || targets.is_empty()) && !others.is_empty() {
-        targets.push(others.swap_remove(rand::random_range(0..others.len())));
+    if round.is_multiple_of(STRAY) {
+        others.retain(|record| record.region == own.region);
+        if !others.is_empty() {
+            targets.push(others.swap_remove(rand::random_range(0..others.len())));
+        }
     }
     targets
 }
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -6,7 +6,7 @@
 
 use super::events::Event;
 use super::shared::{Shared, lock};
-use crate::decide::members::{Member, Pulse};
+use crate::decide::members::{Record, Told};
 use crate::platform::{Platform, StoreError};
 
 /// Longest wait for a change in one call of the store: calls are priced, and a new one finds a silent connection.
@@ -113,10 +113,10 @@
     let now = shared.now();
     for record in records {
         // A record that another version of the program wrote is passed over; its node tells others itself.
-        let Ok(record) = serde_json::from_slice(record) else { continue };
-        let member = Member { record, pulse: Pulse::default() };
-        let record = member.record.clone();
-        let news = lock(&shared.table).merge(member, None, now);
-        shared.noted(news, &record, "store");
+        let Ok(record) = serde_json::from_slice::<Record>(record) else { continue };
+        let (node, life) = (record.node.clone(), record.life);
+        let told = Told { node: node.clone(), life, record: Some(record), pulse: None };
+        let news = lock(&shared.table).merge(told, None, now);
+        shared.noted(news, &node, "store");
     }
 }
--- a/components/mesh/src/process/plan.rs
+++ b/components/mesh/src/process/plan.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::decide::admission::{Admission, Demand};
-use crate::decide::members::{Member, Pulse, Rates, Standing};
+use crate::decide::admission::Admission;
+use crate::decide::members::{Pulse, Rates};
 use crate::decide::meter::Meter;
 use crate::decide::queue::Load;
 
@@ -19,7 +19,7 @@
 /// Rates of this node and the shares that it goes by.
 #[derive(Debug, Default)]
 pub struct Plan {
-    offered: Meters,
+    came: Meters,
     admitted: Meters,
     used: Meters,
     /// The shares.
@@ -32,9 +32,13 @@
         Self::default()
     }
 
-    /// A root request came; whether it is let in.
+    /// A request came from a caller or the upstream.
+    pub fn came(&mut self, route: &Arc<str>, now: Instant) {
+        add(&mut self.came, route, 1.0, now);
+    }
+
+    /// Whether a root request is let in.
     pub fn admits(&mut self, route: &Arc<str>, now: Instant) -> bool {
-        add(&mut self.offered, route, 1.0, now);
         let admitted = self.admission.admits(route);
         if admitted {
             add(&mut self.admitted, route, 1.0, now);
@@ -52,31 +56,13 @@
         Pulse {
             beat: 0,
             load: (load.running, load.waiting, load.limit, load.held),
-            offered: rates(&self.offered, now),
+            came: rates(&self.came, now),
             admitted: rates(&self.admitted, now),
             used: rates(&self.used, now),
         }
     }
 }
 
-/// Sums up what all nodes measure.
-pub fn demand<'a>(members: impl Iterator<Item = (&'a Member, bool)>) -> Demand {
-    let mut demand = Demand::default();
-    for (member, silent) in members.filter(|(_, silent)| !silent) {
-        debug_assert!(!silent);
-        let Member { record, pulse } = member;
-        sum(&mut demand.offered, &pulse.offered);
-        sum(&mut demand.admitted, &pulse.admitted);
-        let used: &mut Rates = demand.used.entry(record.service.clone()).or_default();
-        sum(used, &pulse.used);
-        if record.standing == Standing::Ready {
-            let limit = f64::from(pulse.load().limit);
-            *demand.slots.entry(record.service.clone()).or_default() += limit;
-        }
-    }
-    demand
-}
-
 /// Shares under one as text, for the log.
 pub fn describe(admission: &Admission, routes: &BTreeMap<Arc<str>, u8>) -> String {
     let low = routes.keys().map(|route| (route, admission.share(route)));
@@ -98,9 +84,3 @@
         .map(|(route, rate)| (route, (rate * 100.0).round() / 100.0))
         .collect()
 }
-
-fn sum(into: &mut Rates, from: &Rates) {
-    for (route, rate) in from {
-        *into.entry(route.clone()).or_default() += rate;
-    }
-}
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -165,13 +165,12 @@
         Outcome::Refused(refusal) => {
             (outcome::Header::Refused(refusal), plain(StatusCode::SERVICE_UNAVAILABLE))
         }
-        Outcome::Failed(fault) => {
-            (outcome::Header::Failed(fault), plain(StatusCode::BAD_GATEWAY))
-        }
+        Outcome::Failed(fault) => (outcome::Header::Failed(fault), plain(StatusCode::BAD_GATEWAY)),
     };
     call::set(response.headers_mut(), call::OUTCOME, header);
     call::set(response.headers_mut(), call::LOAD, Report(shared.gate.load()));
-    let leaving = matches!(header, outcome::Header::Refused(refusal) if refusal.why == Why::Leaving);
+    let leaving =
+        matches!(header, outcome::Header::Refused(refusal) if refusal.why == Why::Leaving);
     if leaving && *shared.stopping.borrow() {
         call::set(response.headers_mut(), header::CONNECTION, "close");
     }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use quarantine::Fingerprint;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 use units::Clock;
 
@@ -18,6 +19,7 @@
 use crate::connection::pool::Pool;
 use crate::decide::budget::Budget;
 use crate::decide::choose::{Peer, Tier};
+use crate::decide::demand::Demand;
 use crate::decide::family::Family;
 use crate::decide::members::{News, Record, Standing, Table};
 use crate::decide::split::Split;
@@ -41,6 +43,17 @@
     pub local: bool,
 }
 
+/// A region as its delegate sums it up for others.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Summary {
+    /// Time of day at the delegate, in milliseconds; a later one counts.
+    pub stamp: u64,
+    /// Demand at its nodes.
+    pub demand: Demand,
+    /// Nodes that it has not heard of for long.
+    pub silent: Vec<Arc<str>>,
+}
+
 /// State of the process.
 pub struct Shared<P: Platform> {
     /// The platform.
@@ -69,6 +82,8 @@
     pub budgets: Mutex<HashMap<Arc<str>, Budget>>,
     /// Shares of split routes.
     pub splits: Mutex<HashMap<Arc<str>, Split>>,
+    /// Demand in other regions, and when it was summed up there.
+    pub regions: Mutex<BTreeMap<Arc<str>, Summary>>,
     /// What is let in.
     pub plan: Mutex<Plan>,
     /// Requests that were there when an upstream died.
@@ -115,6 +130,7 @@
             peers: Mutex::default(),
             budgets: Mutex::default(),
             splits: Mutex::default(),
+            regions: Mutex::default(),
             plan: Mutex::new(Plan::new()),
             suspects: Mutex::default(),
             told: Mutex::default(),
@@ -169,17 +185,20 @@
     }
 
     /// Notes what news of a node changed.
-    pub fn noted(&self, news: News, record: &Record, from: &str) {
+    pub fn noted(&self, news: News, node: &Arc<str>, from: &str) {
         match news {
             News::Old | News::Pulse => {}
             News::Changed => {
-                self.tell(&Event::MemberChanged {
-                    member: &record.node,
-                    life: record.life,
-                    serial: record.serial,
-                    standing: standing(record.standing),
-                    from,
-                });
+                let record = lock(&self.table).get(node).map(|member| member.record.clone());
+                if let Some(record) = record {
+                    self.tell(&Event::MemberChanged {
+                        member: &record.node,
+                        life: record.life,
+                        serial: record.serial,
+                        standing: standing(record.standing),
+                        from,
+                    });
+                }
                 self.urgent.notify_one();
             }
             News::Overtaken(life) => {
--- a/components/mesh/src/request/call.rs
+++ b/components/mesh/src/request/call.rs
@@ -54,6 +54,8 @@
     pub patience: Duration,
     /// Running it twice does no harm.
     pub idempotent: bool,
+    /// An upstream calls it for a tree that has begun.
+    pub called: bool,
 }
 
 impl Call {
@@ -75,6 +77,7 @@
             left: self.left(now).as_millis() as u64,
             patience: self.patience.as_millis() as u64,
             idempotent: self.idempotent,
+            called: self.called,
         }
     }
 }
@@ -90,6 +93,7 @@
     left: u64,
     patience: u64,
     idempotent: bool,
+    called: bool,
 }
 
 impl Header {
@@ -104,15 +108,19 @@
             until: now + Duration::from_millis(self.left),
             patience: Duration::from_millis(self.patience),
             idempotent: self.idempotent,
+            called: self.called,
         }
     }
 }
 
 impl fmt::Display for Header {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { service, caller, route, rank, due, left, patience, idempotent } = self;
-        let idempotent = u8::from(*idempotent);
-        write!(out, "{service};{caller};{route};{rank};{due};{left};{patience};{idempotent}")
+        let Self { service, caller, route, rank, due, left, patience, .. } = self;
+        let (idempotent, called) = (u8::from(self.idempotent), u8::from(self.called));
+        write!(
+            out,
+            "{service};{caller};{route};{rank};{due};{left};{patience};{idempotent};{called}"
+        )
     }
 }
 
@@ -134,6 +142,7 @@
         left: parts.next()?.parse().ok()?,
         patience: parts.next()?.parse().ok()?,
         idempotent: parts.next()? == "1",
+        called: parts.next()? == "1",
     };
     parts.next().is_none().then_some(header)
 }
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -13,6 +13,7 @@
 use super::call::{self, Call, Head, Root};
 use super::outcome::{Fault, Outcome, Refusal, Why};
 use super::{guard, peer};
+use crate::decide::family;
 use crate::platform::Platform;
 use crate::process::events::Event;
 use crate::process::shared::{Shared, Target, lock};
@@ -39,7 +40,21 @@
     call: Call,
     /// When the caller itself leaves, for the time that it is asked to stay away.
     caller_left: Duration,
-    inner: bool,
+    parent: Option<family::Key>,
+}
+
+/// A call of the upstream that has no answer yet.
+struct Out<'a, P: Platform> {
+    shared: &'a Shared<P>,
+    parent: Option<family::Key>,
+}
+
+impl<P: Platform> Drop for Out<'_, P> {
+    fn drop(&mut self) {
+        if let Some(parent) = self.parent {
+            lock(&self.shared.family).returned(parent);
+        }
+    }
 }
 
 /// Counts a request as open until it is answered.
@@ -77,6 +92,7 @@
         Ok(plan) => plan,
         Err(response) => return response,
     };
+    let _out = Out { shared: &shared, parent: plan.parent };
     let head = head(&shared, parts, id, head_only);
     let Some(head) = head else { return plain(StatusCode::BAD_REQUEST) };
     let response = if admitted(&shared, &plan, started) {
@@ -92,7 +108,7 @@
 
 /// Whether a root request is let in; calls of trees that have begun always are.
 fn admitted<P: Platform>(shared: &Shared<P>, plan: &Plan, now: Instant) -> bool {
-    plan.inner || lock(&shared.plan).admits(&plan.route.name, now)
+    plan.call.called || lock(&shared.plan).admits(&plan.route.name, now)
 }
 
 fn plan<P: Platform>(
@@ -117,13 +133,19 @@
     };
     let asked = call::parse(&parts.headers, &names.deadline).map(Duration::from_millis);
     let caller_left = asked.unwrap_or(route.timeout);
-    let parent = lock(&shared.family).parent(caller_left, now).cloned();
-    let inner = parent.is_some();
-    let root = parent.unwrap_or_else(|| Root {
-        route: route.name.clone(),
-        rank: route.rank,
-        due: now + route.aim,
-    });
+    let called = {
+        let mut plan = lock(&shared.plan);
+        plan.came(&route.name, now);
+        plan.admission.is_called(&route.name)
+    };
+    let parent = if called { parent(shared, caller_left, now) } else { None };
+    let (parent, root) = match parent {
+        Some((key, root)) => (Some(key), root),
+        None => {
+            let (name, due) = (route.name.clone(), now + route.aim);
+            (None, Root { route: name, rank: route.rank, due })
+        }
+    };
     let service = service(shared, &route);
     let call = Call {
         root,
@@ -132,8 +154,22 @@
         until: now + caller_left.min(route.timeout),
         patience: SHORT_WAIT,
         idempotent: route.idempotent,
+        called,
     };
-    Ok(Plan { route, call, caller_left, inner })
+    Ok(Plan { route, call, caller_left, parent })
+}
+
+/// The request of the upstream that a call is made for.
+fn parent<P: Platform>(
+    shared: &Shared<P>,
+    left: Duration,
+    now: Instant,
+) -> Option<(family::Key, Root)> {
+    let mut family = lock(&shared.family);
+    if let Some((key, root)) = family.exact(left, now) {
+        return Some((key, root.clone()));
+    }
+    family.likely(left, now).map(|(key, root)| (key, root.clone()))
 }
 
 fn service<P: Platform>(shared: &Shared<P>, route: &Route) -> Arc<str> {
@@ -196,8 +232,16 @@
                 }
                 return answered(shared, *parts, body);
             }
-            Outcome::Refused(why) => refusal = why,
+            Outcome::Refused(why) => {
+                refusal = why;
+                if why.why == Why::Unreachable {
+                    shared.peer(&target.record.node, |peer| peer.failed(shared.now()));
+                }
+            }
             Outcome::Failed(why) => {
+                if matches!(why, Fault::Died | Fault::Lost) {
+                    shared.peer(&target.record.node, |peer| peer.failed(shared.now()));
+                }
                 sent += 1;
                 fault = Some(why);
                 if !may_repeat(shared, plan, head, &target, why, sent) {
@@ -244,7 +288,7 @@
     if !last {
         return SHORT_WAIT;
     }
-    if plan.inner {
+    if plan.call.called {
         return plan.call.left(now);
     }
     let to_aim = plan.call.root.due.saturating_duration_since(now);
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -15,6 +15,7 @@
 use super::outcome::{Fault, Outcome, Refusal, Why};
 use crate::connection::pool::{Lane, SendError};
 use crate::connection::socket;
+use crate::decide::family;
 use crate::decide::queue::Offer;
 use crate::platform::{Beat, Platform};
 use crate::process::events::Event;
@@ -37,7 +38,7 @@
     shared: Arc<Shared<P>>,
     route: Arc<str>,
     since: Instant,
-    key: u64,
+    key: family::Key,
     /// The answer came, so the time that it took says something.
     pub whole: bool,
 }
@@ -73,7 +74,10 @@
         return Outcome::Refused(refusal);
     }
     let now = shared.now();
-    let (key, left) = lock(&shared.family).start(call.left(now), now, call.root.clone());
+    let (key, left) = {
+        let mut family = lock(&shared.family);
+        family.start(call.left(now), now, call.root.clone(), call.called)
+    };
     let route = call.root.route.clone();
     let run = Run { shared: shared.clone(), route, since: now, key, whole: false };
     // It may have waited: the upstream may have begun to leave meanwhile.
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -156,11 +156,6 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut parts = text.split('/');
         let mut number = || parts.next().unwrap_or_default().parse();
-        Ok(Self(Load {
-            running: number()?,
-            waiting: number()?,
-            limit: number()?,
-            held: number()?,
-        }))
+        Ok(Self(Load { running: number()?, waiting: number()?, limit: number()?, held: number()? }))
     }
 }
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -100,10 +100,15 @@
     /// The exit code that the command line's help gives for it.
     pub fn code(&self) -> ExitCode {
         ExitCode::from(match self {
-            Self::Settings(_) | Self::Platform(_) | Self::File(..) | Self::Rules(..) | Self::Experiment(_) => BAD_FILE,
-            Self::Start(::node::Error::Listen(..)) | Self::StartMesh(_) | Self::Unreachable(..) | Self::Log(_) => {
-                BAD_ADDRESS
-            }
+            Self::Settings(_)
+            | Self::Platform(_)
+            | Self::File(..)
+            | Self::Rules(..)
+            | Self::Experiment(_) => BAD_FILE,
+            Self::Start(::node::Error::Listen(..))
+            | Self::StartMesh(_)
+            | Self::Unreachable(..)
+            | Self::Log(_) => BAD_ADDRESS,
             Self::Start(_) => BAD_FILE,
             Self::Lost(_) => UNKNOWN,
             Self::Logger(_)
