--- a/components/mesh/src/request.rs
+++ b/components/mesh/src/request.rs
@@ -6,3 +6,4 @@
 pub mod guard;
 pub mod outcome;
 pub mod peer;
+pub mod tries;
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -1,30 +1,23 @@
-//! The entry's side of a call: its route, whether it is let in, where it goes, and whether it is tried again.
+//! The entry's side of a call: its route, whether it is let in, and what its caller is answered.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::header;
 use http::{HeaderValue, Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 
 use super::body::{self, Payload, Unread};
 use super::call::{self, Call, Head, Root};
-use super::outcome::{Fault, Outcome, Refusal, Why};
-use super::{guard, peer};
+use super::outcome::{Fault, Refusal, Why};
+use super::tries::{self, Ended};
 use crate::decide::family;
 use crate::platform::Platform;
 use crate::process::events::Event;
-use crate::process::shared::{Shared, Target, lock};
+use crate::process::shared::{Shared, lock};
 use crate::version::{Configuration, Route};
 
-/// Guards that are asked for room before the caller is told that there is none.
-const MOST_TRIES: usize = 4;
-/// Wait for a slot that is accepted while other nodes of the service may have room.
-const SHORT_WAIT: Duration = Duration::from_millis(30);
-/// Part of the time to the aim that a request may wait for a slot where it was let in last.
-const WAIT_SHARE: f64 = 0.5;
 /// Time that a caller is asked to stay away at least.
 const LEAST_AWAY: Duration = Duration::from_millis(50);
 /// Time that a caller is asked to stay away when the reason passes soon.
@@ -35,11 +28,14 @@
 const BODY_AT_FIRST: usize = 1 << 20;
 
 /// A request with everything that is decided before it is sent.
-struct Plan {
-    route: Arc<Route>,
-    call: Call,
+pub struct Plan {
+    /// The route.
+    pub route: Arc<Route>,
+    /// What it carries.
+    pub call: Call,
     /// When the caller itself leaves, for the time that it is asked to stay away.
     caller_left: Duration,
+    /// The request of the upstream that it is made for.
     parent: Option<family::Key>,
 }
 
@@ -88,15 +84,14 @@
     let Some(active) = shared.active() else {
         return refused(&shared, &id, "", &Refusal::new(Why::Unconfigured), SOON, 0);
     };
-    let plan = match plan(&shared, &active, &parts, &id, started) {
-        Ok(plan) => plan,
-        Err(response) => return response,
+    let Some(plan) = plan(&shared, &active, &parts, started) else {
+        return unrouted(&shared, &active, &parts, &id);
     };
     let _out = Out { shared: &shared, parent: plan.parent };
     let head = head(&shared, parts, id, head_only);
     let Some(head) = head else { return plain(StatusCode::BAD_REQUEST) };
     let response = if admitted(&shared, &plan, started) {
-        tries(&shared, &plan, &head, &body).await
+        finish(&shared, &plan, &head, tries::run(&shared, &plan, &head, &body).await)
     } else {
         let away = away(Duration::MAX, plan.caller_left);
         refused(&shared, &head.id, &plan.route.name, &Refusal::new(Why::Overload), away, 0)
@@ -111,26 +106,37 @@
     plan.call.called || lock(&shared.plan).admits(&plan.route.name, now)
 }
 
-fn plan<P: Platform>(
+/// Answers a request that no route takes.
+fn unrouted<P: Platform>(
     shared: &Shared<P>,
     active: &Configuration,
     parts: &request::Parts,
     id: &HeaderValue,
+) -> Response<Payload<P>> {
+    shared.tell(&Event::Unrouted {
+        id: id.to_str().unwrap_or_default(),
+        host: host(parts),
+        path: parts.uri.path(),
+        version: active.version,
+    });
+    shared.metrics.calls.with_label_values(&["unrouted"]).inc();
+    plain(StatusCode::NOT_FOUND)
+}
+
+fn host(parts: &request::Parts) -> &str {
+    let named = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    named.or_else(|| parts.uri.host()).unwrap_or_default()
+}
+
+/// Finds the route of a request and what it belongs to; none if no route takes it.
+fn plan<P: Platform>(
+    shared: &Shared<P>,
+    active: &Configuration,
+    parts: &request::Parts,
     now: Instant,
-) -> Result<Plan, Response<Payload<P>>> {
+) -> Option<Plan> {
     let names = shared.platform.headers();
-    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
-    let Some(route) = active.find(host, parts.uri.path()).cloned() else {
-        shared.tell(&Event::Unrouted {
-            id: id.to_str().unwrap_or_default(),
-            host,
-            path: parts.uri.path(),
-            version: active.version,
-        });
-        shared.metrics.calls.with_label_values(&["unrouted"]).inc();
-        return Err(plain(StatusCode::NOT_FOUND));
-    };
+    let route = active.find(host(parts), parts.uri.path()).cloned()?;
     let asked = call::parse(&parts.headers, &names.deadline).map(Duration::from_millis);
     let caller_left = asked.unwrap_or(route.timeout);
     let called = {
@@ -152,11 +158,11 @@
         service,
         caller: shared.place.service.clone(),
         until: now + caller_left.min(route.timeout),
-        patience: SHORT_WAIT,
+        patience: Duration::ZERO,
         idempotent: route.idempotent,
         called,
     };
-    Ok(Plan { route, call, caller_left, parent })
+    Some(Plan { route, call, caller_left, parent })
 }
 
 /// The request of the upstream that a call is made for.
@@ -201,163 +207,28 @@
     Some(Head { method: parts.method, path, headers: parts.headers, id })
 }
 
-/// Sends the request to one guard after the other until there is an answer or a reason to stop.
-async fn tries<P: Platform>(
-    shared: &Arc<Shared<P>>,
-    plan: &Plan,
-    head: &Head,
-    body: &Bytes,
-) -> Response<Payload<P>> {
-    let Plan { route, call, .. } = plan;
-    lock(&shared.budgets).entry(call.service.clone()).or_default().first();
-    let mut tried: Vec<Arc<str>> = Vec::new();
-    let mut sent = 0;
-    let mut fault = None;
-    let mut refusal = Refusal::new(Why::NoUpstream);
-    while tried.len() < MOST_TRIES {
-        let now = shared.now();
-        if call.left(now).is_zero() {
-            refusal = Refusal::new(Why::Deadline);
-            break;
-        }
-        let Some(target) = shared.choose(&call.service, &tried) else { break };
-        tried.push(target.record.node.clone());
-        let last = tried.len() == MOST_TRIES || shared.choose(&call.service, &tried).is_none();
-        let patience = patience(plan, last, now);
-        match send(shared, &target, Call { patience, ..call.clone() }, head, body).await {
-            Outcome::Answer { head: parts, body, unrun } => {
-                if again(shared, plan, head, &target, &parts, unrun, sent) {
-                    sent += 1;
-                    continue;
-                }
-                return answered(shared, *parts, body);
-            }
-            Outcome::Refused(why) => {
-                refusal = why;
-                if why.why == Why::Unreachable {
-                    shared.peer(&target.record.node, |peer| peer.failed(shared.now()));
-                }
-            }
-            Outcome::Failed(why) => {
-                if matches!(why, Fault::Died | Fault::Lost) {
-                    shared.peer(&target.record.node, |peer| peer.failed(shared.now()));
-                }
-                sent += 1;
-                fault = Some(why);
-                if !may_repeat(shared, plan, head, &target, why, sent) {
-                    break;
-                }
-            }
-        }
-    }
-    match fault {
-        Some(why) => failed(shared, plan, head, tried.last(), why),
-        None => {
-            let away = away(refusal.wait, plan.caller_left);
-            refused(shared, &head.id, &route.name, &refusal, away, tried.len())
-        }
-    }
-}
-
-async fn send<P: Platform>(
-    shared: &Arc<Shared<P>>,
-    target: &Target,
-    call: Call,
-    head: &Head,
-    body: &Bytes,
-) -> Outcome<P> {
-    if !target.local {
-        return peer::send(shared, target, &call, head, body).await;
-    }
-    let sent = peer::Sent::new(shared.clone(), target.record.node.clone());
-    let outcome = guard::serve(shared, &call, head, body).await;
-    drop(sent);
-    let (load, now) = (shared.gate.load(), shared.now());
-    shared.peer(&target.record.node, |peer| {
-        peer.reported(load, now);
-        if matches!(outcome, Outcome::Refused(Refusal { why: Why::Unreachable, .. })) {
-            peer.failed(now);
-        }
-    });
-    outcome
-}
-
-/// Wait for a slot that is accepted. A tree that has begun waits as long as it can; another request only as long as
-/// its answer keeps its worth.
-fn patience(plan: &Plan, last: bool, now: Instant) -> Duration {
-    if !last {
-        return SHORT_WAIT;
-    }
-    if plan.call.called {
-        return plan.call.left(now);
-    }
-    let to_aim = plan.call.root.due.saturating_duration_since(now);
-    to_aim.min(plan.call.left(now)).mul_f64(WAIT_SHARE)
-}
-
-/// Whether an answer of the upstream is given up for another try: it did not run the request.
-fn again<P: Platform>(
-    shared: &Shared<P>,
-    plan: &Plan,
-    head: &Head,
-    target: &Target,
-    parts: &http::response::Parts,
-    unrun: bool,
-    sent: u32,
-) -> bool {
-    let now = shared.now();
-    if !unrun {
-        return false;
-    }
-    shared.peer(&target.record.node, |peer| peer.failed(now));
-    let why = if parts.status == StatusCode::MISDIRECTED_REQUEST { "misdirected" } else { "shed" };
-    repeat(shared, plan, head, target, why, sent + 1)
-}
-
-/// Whether a request that may have run is sent again.
-fn may_repeat<P: Platform>(
-    shared: &Shared<P>,
-    plan: &Plan,
-    head: &Head,
-    target: &Target,
-    fault: Fault,
-    sent: u32,
-) -> bool {
-    let pointless = matches!(fault, Fault::Late | Fault::Quarantined);
-    plan.call.idempotent && !pointless && repeat(shared, plan, head, target, fault.as_str(), sent)
+/// Time that a caller is asked to stay away: as long as it would have waited, spread so that not all come at once.
+fn away(wait: Duration, caller_left: Duration) -> Duration {
+    let most = caller_left.mul_f64(AWAY_SHARE);
+    let wait = wait.max(LEAST_AWAY).min(most);
+    wait.mul_f64(rand::random_range(0.7..1.0))
 }
 
-fn repeat<P: Platform>(
+/// The caller's answer to what became of its request.
+fn finish<P: Platform>(
     shared: &Shared<P>,
     plan: &Plan,
     head: &Head,
-    target: &Target,
-    why: &str,
-    sent: u32,
-) -> bool {
-    let left = plan.call.left(shared.now());
-    let mut budgets = lock(&shared.budgets);
-    let budget = budgets.entry(plan.call.service.clone()).or_default();
-    if sent >= u32::from(plan.route.attempts) || left.is_zero() || !budget.take() {
-        return false;
+    ended: Ended<P>,
+) -> Response<Payload<P>> {
+    match ended {
+        Ended::Answer { head, body } => answered(shared, *head, body),
+        Ended::Refused { refusal, tries } => {
+            let away = away(refusal.wait, plan.caller_left);
+            refused(shared, &head.id, &plan.route.name, &refusal, away, tries)
+        }
+        Ended::Failed { fault, at } => failed(shared, plan, head, at.as_ref(), fault),
     }
-    drop(budgets);
-    shared.metrics.retries.with_label_values(&[why]).inc();
-    shared.tell(&Event::Retried {
-        id: head.id.to_str().unwrap_or_default(),
-        route: &plan.route.name,
-        from: &target.record.node,
-        why,
-        left_ms: left.as_millis() as u64,
-    });
-    true
-}
-
-/// Time that a caller is asked to stay away: as long as it would have waited, spread so that not all come at once.
-fn away(wait: Duration, caller_left: Duration) -> Duration {
-    let most = caller_left.mul_f64(AWAY_SHARE);
-    let wait = wait.max(LEAST_AWAY).min(most);
-    wait.mul_f64(rand::random_range(0.7..1.0))
 }
 
 fn answered<P: Platform>(
--- /dev/null
+++ b/components/mesh/src/request/tries.rs
@@ -0,0 +1,202 @@
+//! Sending a request to one guard after the other, until there is an answer or a reason to stop.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{StatusCode, response};
+
+use super::body::Payload;
+use super::call::{Call, Head};
+use super::entry::Plan;
+use super::outcome::{Fault, Outcome, Refusal, Why};
+use super::{guard, peer};
+use crate::platform::Platform;
+use crate::process::events::Event;
+use crate::process::shared::{Shared, Target, lock};
+
+/// Guards that are asked for room before the caller is told that there is none.
+const MOST_TRIES: usize = 4;
+/// Wait for a slot that is accepted while other nodes of the service may have room.
+const SHORT_WAIT: Duration = Duration::from_millis(30);
+/// Part of the time to the aim that a request may wait for a slot where it is asked last.
+const WAIT_SHARE: f64 = 0.5;
+
+/// How the tries ended.
+pub enum Ended<P: Platform> {
+    /// With an answer of an upstream.
+    Answer {
+        /// Status and headers.
+        head: Box<response::Parts>,
+        /// Body.
+        body: Payload<P>,
+    },
+    /// No upstream was sent the request.
+    Refused {
+        /// The last refusal.
+        refusal: Refusal,
+        /// Guards that were asked.
+        tries: usize,
+    },
+    /// It may have run.
+    Failed {
+        /// Why there is no answer.
+        fault: Fault,
+        /// The node that was asked last.
+        at: Option<Arc<str>>,
+    },
+}
+
+/// A request on its way.
+struct Tries<'a, P: Platform> {
+    shared: &'a Arc<Shared<P>>,
+    plan: &'a Plan,
+    head: &'a Head,
+    /// Guards that were asked.
+    tried: Vec<Arc<str>>,
+    /// Upstreams that were sent the request.
+    sent: u32,
+    fault: Option<Fault>,
+    refusal: Refusal,
+}
+
+/// Sends a request until there is an answer or a reason to stop.
+pub async fn run<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    plan: &Plan,
+    head: &Head,
+    body: &Bytes,
+) -> Ended<P> {
+    lock(&shared.budgets).entry(plan.call.service.clone()).or_default().first();
+    let refusal = Refusal::new(Why::NoUpstream);
+    let mut tries = Tries { shared, plan, head, tried: Vec::new(), sent: 0, fault: None, refusal };
+    while let Some((target, call)) = tries.next() {
+        let outcome = send(shared, &target, call, head, body).await;
+        if let Some((head, body)) = tries.take(&target, outcome) {
+            return Ended::Answer { head, body };
+        }
+        if tries.fault.is_some_and(|fault| !tries.may_repeat(&target, fault)) {
+            break;
+        }
+    }
+    match tries.fault {
+        Some(fault) => Ended::Failed { fault, at: tries.tried.pop() },
+        None => Ended::Refused { refusal: tries.refusal, tries: tries.tried.len() },
+    }
+}
+
+impl<P: Platform> Tries<'_, P> {
+    /// The next guard and what it is sent.
+    fn next(&mut self) -> Option<(Target, Call)> {
+        let Plan { call, .. } = self.plan;
+        let now = self.shared.now();
+        if call.left(now).is_zero() {
+            self.refusal = Refusal::new(Why::Deadline);
+            return None;
+        }
+        if self.tried.len() >= MOST_TRIES {
+            return None;
+        }
+        let target = self.shared.choose(&call.service, &self.tried)?;
+        self.tried.push(target.record.node.clone());
+        let last = self.tried.len() == MOST_TRIES
+            || self.shared.choose(&call.service, &self.tried).is_none();
+        let patience = patience(call, last, now);
+        Some((target, Call { patience, ..call.clone() }))
+    }
+
+    /// Takes the outcome of a try; an answer ends the tries, unless the upstream says that it did not run the
+    /// request and another may.
+    fn take(
+        &mut self,
+        target: &Target,
+        outcome: Outcome<P>,
+    ) -> Option<(Box<response::Parts>, Payload<P>)> {
+        let now = self.shared.now();
+        let node = &target.record.node;
+        match outcome {
+            Outcome::Answer { head, body, unrun: false } => return Some((head, body)),
+            Outcome::Answer { head, body, unrun: true } => {
+                self.shared.peer(node, |peer| peer.failed(now));
+                self.sent += 1;
+                let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+                let why = if misdirected { "misdirected" } else { "shed" };
+                if !self.repeat(target, why) {
+                    return Some((head, body));
+                }
+            }
+            Outcome::Refused(refusal) => {
+                self.refusal = refusal;
+                if refusal.why == Why::Unreachable {
+                    self.shared.peer(node, |peer| peer.failed(now));
+                }
+            }
+            Outcome::Failed(fault) => {
+                if matches!(fault, Fault::Died | Fault::Lost) {
+                    self.shared.peer(node, |peer| peer.failed(now));
+                }
+                self.sent += 1;
+                self.fault = Some(fault);
+            }
+        }
+        None
+    }
+
+    /// Whether a request that may have run is sent again.
+    fn may_repeat(&self, target: &Target, fault: Fault) -> bool {
+        let pointless = matches!(fault, Fault::Late | Fault::Quarantined);
+        self.plan.call.idempotent && !pointless && self.repeat(target, fault.as_str())
+    }
+
+    /// Pays for another upstream.
+    fn repeat(&self, target: &Target, why: &str) -> bool {
+        let Plan { route, call, .. } = self.plan;
+        let left = call.left(self.shared.now());
+        if self.sent >= u32::from(route.attempts) || left.is_zero() {
+            return false;
+        }
+        if !lock(&self.shared.budgets).entry(call.service.clone()).or_default().take() {
+            return false;
+        }
+        self.shared.metrics.retries.with_label_values(&[why]).inc();
+        self.shared.tell(&Event::Retried {
+            id: self.head.id.to_str().unwrap_or_default(),
+            route: &route.name,
+            from: &target.record.node,
+            why,
+            left_ms: left.as_millis() as u64,
+        });
+        true
+    }
+}
+
+/// Wait for a slot that is accepted. A tree that has begun waits as long as it can; another request only as long as
+/// its answer keeps its worth.
+fn patience(call: &Call, last: bool, now: Instant) -> Duration {
+    if !last {
+        return SHORT_WAIT;
+    }
+    if call.called {
+        return call.left(now);
+    }
+    let to_aim = call.root.due.saturating_duration_since(now);
+    to_aim.min(call.left(now)).mul_f64(WAIT_SHARE)
+}
+
+async fn send<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    target: &Target,
+    call: Call,
+    head: &Head,
+    body: &Bytes,
+) -> Outcome<P> {
+    if !target.local {
+        return peer::send(shared, target, &call, head, body).await;
+    }
+    let sent = peer::Sent::new(shared.clone(), target.record.node.clone());
+    let outcome = guard::serve(shared, &call, head, body).await;
+    drop(sent);
+    let (load, now) = (shared.gate.load(), shared.now());
+    shared.peer(&target.record.node, |peer| peer.reported(load, now));
+    outcome
+}
--- /dev/null
+++ b/components/mesh/tests/family.rs
@@ -0,0 +1,68 @@
+//! Which request of an upstream a call is made for.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at what it did not expect")]
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use mesh::decide::family::Family;
+
+const MS: Duration = Duration::from_millis(1);
+
+#[gtest]
+fn requests_with_the_same_time_left_get_deadlines_of_their_own() {
+    let now = Instant::now();
+    let mut family = Family::new(now);
+    let given: Vec<Duration> =
+        (0..20).map(|index| family.start(1_200 * MS, now, index, false).1).collect();
+    for (index, left) in given.iter().enumerate() {
+        expect_that!(*left, le(1_200 * MS));
+        expect_that!(*left, ge(1_040 * MS), "little is taken off");
+        let found = family.exact(*left, now).map(|(_, parent)| *parent);
+        expect_that!(found, some(eq(index as i32)));
+    }
+}
+
+#[gtest]
+fn a_call_that_expires_with_a_request_is_made_for_it() {
+    let now = Instant::now();
+    let mut family = Family::new(now);
+    let (key, left) = family.start(900 * MS, now, "order", false);
+    family.start(700 * MS, now, "other", false);
+    let later = now + 250 * MS;
+    let found = family.exact(left - 250 * MS, later);
+    expect_that!(found.map(|(found, parent)| (found == key, *parent)), some(eq((true, "order"))));
+    family.end(key);
+    expect_that!(family.exact(left - 250 * MS, later).is_none(), eq(true));
+}
+
+#[gtest]
+fn a_call_with_a_shorter_limit_goes_to_the_request_with_the_fewest_calls_out() {
+    let now = Instant::now();
+    let mut family = Family::new(now);
+    family.start(1_000 * MS, now, "first", true);
+    family.start(1_100 * MS, now, "second", true);
+    let first = family.likely(600 * MS, now).map(|(key, parent)| (key, *parent)).unwrap();
+    let second = family.likely(600 * MS, now).map(|(key, parent)| (key, *parent)).unwrap();
+    expect_that!(first.1, not(eq(second.1)));
+    family.returned(second.0);
+    let third = family.likely(600 * MS, now).map(|(_, parent)| *parent);
+    expect_that!(third, some(eq(second.1)));
+}
+
+#[gtest]
+fn requests_that_are_calls_themselves_are_more_likely_to_call_further() {
+    let now = Instant::now();
+    let mut family = Family::new(now);
+    family.start(2_000 * MS, now, "confirmation", false);
+    family.start(900 * MS, now, "lookup", true);
+    expect_that!(family.likely(600 * MS, now).map(|(_, parent)| *parent), some(eq("lookup")));
+}
+
+#[gtest]
+fn a_request_that_expires_before_the_call_did_not_make_it() {
+    let now = Instant::now();
+    let mut family = Family::new(now);
+    family.start(300 * MS, now, "short", true);
+    expect_that!(family.likely(600 * MS, now).is_none(), eq(true));
+}
--- /dev/null
+++ b/components/mesh/tests/members.rs
@@ -0,0 +1,117 @@
+//! Who is there, whatever the order of the news.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at what it did not expect")]
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use mesh::decide::members::{News, Pulse, Record, Standing, Table, Told};
+
+fn record(node: &str, life: u64, serial: u64) -> Record {
+    Record {
+        node: node.into(),
+        life,
+        serial,
+        zone: "a".into(),
+        region: "r".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        service: "s".into(),
+        standing: Standing::Ready,
+        slots: 4,
+    }
+}
+
+fn told(record: Record) -> Told {
+    Told { node: record.node.clone(), life: record.life, record: Some(record), pulse: None }
+}
+
+fn pulse(node: &str, life: u64, beat: u64) -> Told {
+    let pulse = Some(Pulse { beat, ..Pulse::default() });
+    Told { node: node.into(), life, record: None, pulse }
+}
+
+fn silent(table: &Table, node: &str, now: Instant) -> Option<bool> {
+    table.all(now).find(|(member, _)| *member.record.node == *node).map(|(_, silent)| silent)
+}
+
+#[gtest]
+fn older_news_changes_nothing() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    expect_that!(table.merge(told(record("b", 5, 3)), None, now), eq(News::Changed));
+    for old in [record("b", 5, 2), record("b", 4, 9), record("b", 5, 3)] {
+        expect_that!(table.merge(told(old), None, now), eq(News::Old));
+    }
+    expect_that!(table.get("b").map(|member| member.record.serial), some(eq(3)));
+}
+
+#[gtest]
+fn a_later_life_starts_its_counts_anew() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    table.merge(told(record("b", 5, 30)), None, now);
+    table.merge(pulse("b", 5, 70), None, now);
+    expect_that!(table.merge(told(record("b", 6, 1)), None, now), eq(News::Changed));
+    expect_that!(table.merge(pulse("b", 5, 71), None, now), eq(News::Old));
+    expect_that!(table.merge(pulse("b", 6, 1), None, now), eq(News::Pulse));
+}
+
+#[gtest]
+fn a_node_that_others_know_in_a_later_life_says_so() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 7, 1), now);
+    expect_that!(table.merge(told(record("own", 9, 4)), None, now), eq(News::Overtaken(9)));
+    expect_that!(table.merge(told(record("own", 7, 4)), None, now), eq(News::Old));
+}
+
+#[gtest]
+fn a_pulse_of_an_unknown_node_is_passed_over() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    expect_that!(table.merge(pulse("b", 1, 1), None, now), eq(News::Old));
+    expect_that!(table.all(now).count(), eq(1));
+}
+
+#[gtest]
+fn a_reader_gets_what_changed_but_not_what_it_told() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    let teller: Arc<str> = "b".into();
+    table.merge(told(record("b", 1, 1)), Some(&teller), now);
+    table.merge(told(record("c", 1, 1)), None, now);
+    let seen = table.revision();
+    let names = |news: Vec<Told>| news.into_iter().map(|told| told.node.to_string()).collect();
+    let first: Vec<String> = names(table.since(0, "b", true));
+    expect_that!(first, elements_are![eq("c"), eq("own")]);
+    table.merge(pulse("c", 1, 1), None, now);
+    let next = table.since(seen, "b", true);
+    expect_that!(next.len(), eq(1));
+    expect_that!(next[0].record, none(), "the record did not change");
+    expect_that!(table.since(seen, "b", false), is_empty(), "pulses stay in the region");
+}
+
+#[gtest]
+fn a_silent_node_is_avoided_and_in_the_end_forgotten() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    table.merge(told(record("b", 1, 1)), None, now);
+    expect_that!(silent(&table, "b", now + Duration::from_secs(2)), some(eq(false)));
+    let later = now + Duration::from_secs(4);
+    expect_that!(silent(&table, "b", later), some(eq(true)));
+    expect_that!(silent(&table, "own", later), some(eq(false)));
+    table.vouched("r", &[], later);
+    expect_that!(silent(&table, "b", later), some(eq(false)));
+    table.sweep(later + Duration::from_secs(40));
+    expect_that!(silent(&table, "b", later), none());
+}
+
+#[gtest]
+fn a_process_that_stood_still_takes_nobody_for_silent() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    table.merge(told(record("b", 1, 1)), None, now);
+    let later = now + Duration::from_secs(9);
+    table.woke(later);
+    expect_that!(silent(&table, "b", later), some(eq(false)));
+}
--- /dev/null
+++ b/components/mesh/tests/small.rs
@@ -0,0 +1,110 @@
+//! Splits, retry budgets, the choice of a node, and what travels between nodes as text.
+
+#![allow(clippy::unwrap_used, reason = "a test stops at what it did not expect")]
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use mesh::decide::budget::Budget;
+use mesh::decide::choose::{Peer, Tier};
+use mesh::decide::queue::Load;
+use mesh::decide::split::Split;
+use mesh::request::call::{self, Call, Root};
+use mesh::request::outcome::{Fault, Header, Refusal, Why};
+
+const MS: Duration = Duration::from_millis(1);
+
+#[gtest]
+fn a_split_keeps_its_weights_in_every_stretch() {
+    let mut split = Split::default();
+    let picked: Vec<usize> = (0..1_000).map(|_| split.next(&[90, 10])).collect();
+    for stretch in picked.chunks(50) {
+        let second = stretch.iter().filter(|part| **part == 1).count();
+        expect_that!(second, all!(ge(4), le(6)));
+    }
+    expect_that!(Split::default().next(&[0, 5]), eq(1));
+}
+
+#[gtest]
+fn retries_are_a_share_of_first_sends() {
+    let mut budget = Budget::default();
+    let mut repeats = 0;
+    for _ in 0..1_000 {
+        budget.first();
+        // The worst case: everything fails and would be sent again.
+        while budget.take() {
+            repeats += 1;
+        }
+    }
+    expect_that!(repeats, le(102));
+    expect_that!(repeats, ge(98));
+}
+
+fn busy(running: u32, waiting: u32) -> Load {
+    Load { running, waiting, limit: 10, held: 50_000 }
+}
+
+#[gtest]
+fn a_node_nearby_is_used_until_one_further_away_answers_sooner() {
+    let now = Instant::now();
+    let (mut near, mut far) = (Peer::new(now), Peer::new(now));
+    far.reported(busy(2, 0), now);
+    near.reported(busy(8, 0), now);
+    expect_that!(near.cost(Tier::Zone, false, now), lt(far.cost(Tier::Region, false, now)));
+    near.reported(busy(10, 6), now);
+    expect_that!(near.cost(Tier::Zone, false, now), gt(far.cost(Tier::Region, false, now)));
+    expect_that!(near.cost(Tier::Zone, false, now), lt(far.cost(Tier::Far, false, now)));
+}
+
+#[gtest]
+fn a_failed_node_rests_longer_each_time_until_it_answers() {
+    let now = Instant::now();
+    let mut peer = Peer::new(now);
+    peer.failed(now);
+    expect_that!(peer.rests(now + 200 * MS), eq(true));
+    expect_that!(peer.rests(now + 400 * MS), eq(false));
+    peer.failed(now);
+    expect_that!(peer.rests(now + 400 * MS), eq(true));
+    peer.answered();
+    expect_that!(peer.rests(now), eq(false));
+}
+
+#[gtest]
+fn a_call_travels_as_spans_of_time() {
+    let now = Instant::now();
+    let call = Call {
+        root: Root { route: "list".into(), rank: 2, due: now + 700 * MS },
+        service: "catalog".into(),
+        caller: "orders".into(),
+        until: now + 1_200 * MS,
+        patience: 30 * MS,
+        idempotent: true,
+        called: false,
+    };
+    let text = call.header(now).to_string();
+    let read: call::Header = text.parse().unwrap();
+    expect_that!(read.call(now), eq(&call));
+    let late = Call { root: Root { due: now, ..call.root.clone() }, ..call };
+    let later = now + 50 * MS;
+    let read: call::Header = late.header(later).to_string().parse().unwrap();
+    expect_that!(read.call(later).root.due, eq(now));
+    for wrong in ["", "catalog", "a;b;c;1;2;3;4;1", "a;b;c;x;2;3;4;1;0", "a;b;c;1;2;3;4;1;0;9"] {
+        expect_that!(wrong.parse::<call::Header>().is_err(), eq(true), "{wrong}");
+    }
+}
+
+#[gtest]
+fn outcomes_travel_whole() {
+    let refusal = Refusal { why: Why::Leaving, wait: 250 * MS };
+    for outcome in [
+        Header::Answer(true),
+        Header::Answer(false),
+        Header::Refused(refusal),
+        Header::Failed(Fault::Died),
+    ] {
+        expect_that!(outcome.to_string().parse::<Header>(), ok(eq(&outcome)));
+    }
+    for wrong in ["", "answer", "refused;leaving", "refused;odd;3", "failed;odd", "ran"] {
+        expect_that!(wrong.parse::<Header>().is_err(), eq(true), "{wrong}");
+    }
+}
