--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -153,7 +153,7 @@
 #[derive(Debug, Clone)]
 pub struct Sink {
     node: Arc<str>,
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Item>,
     allowance: Arc<Mutex<Allowance>>,
 }
 
@@ -172,6 +172,15 @@
         Self { node, lines, allowance: Arc::new(Mutex::new(allowance)) }
     }
 
+    /// Waits until what was told is written, but no longer than `patience`.
+    pub fn flush(&self, patience: Duration) {
+        let (done, written) = mpsc::sync_channel(1);
+        if self.lines.try_send(Item::Flush(done)).is_ok() {
+            // A reader that has stopped reading keeps nobody from leaving.
+            let _ = written.recv_timeout(patience);
+        }
+    }
+
     /// Writes an event, unless there is no room for it.
     pub fn tell(&self, event: &Event<'_>, now: Instant, wall: SystemTime) {
         let mut allowance = self.allowance.lock().unwrap_or_else(PoisonError::into_inner);
@@ -192,19 +201,35 @@
         let Ok(mut text) = serde_json::to_vec(&line) else { return };
         text.push(b'\n');
         allowance.bytes -= text.len() as f64;
-        match self.lines.try_send(text) {
+        match self.lines.try_send(Item::Line(text)) {
             Ok(()) => allowance.left_out = 0,
             Err(_) => allowance.left_out += 1,
         }
     }
 }
 
-fn write(mut out: impl Write, queue: &Receiver<Vec<u8>>) {
-    while let Ok(mut text) = queue.recv() {
-        while let Ok(more) = queue.try_recv() {
-            text.extend_from_slice(&more);
+/// What the writer is given.
+#[derive(Debug)]
+enum Item {
+    Line(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+fn write(mut out: impl Write, queue: &Receiver<Item>) {
+    let mut text = Vec::new();
+    while let Ok(first) = queue.recv() {
+        let mut waits = Vec::new();
+        for item in std::iter::once(first).chain(queue.try_iter()) {
+            match item {
+                Item::Line(mut line) => text.append(&mut line),
+                Item::Flush(done) => waits.push(done),
+            }
         }
         // There is nowhere to say that standard output is gone.
         let _ = out.write_all(&text).and_then(|()| out.flush());
+        text.clear();
+        for done in waits {
+            let _ = done.try_send(());
+        }
     }
 }
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -107,6 +107,7 @@
             task.abort();
         }
         shared.tell(&Event::Stopped { left });
+        shared.sink.flush(POLL);
         left
     }
 
--- a/src/cmd/mesh.rs
+++ b/src/cmd/mesh.rs
@@ -6,7 +6,7 @@
 
 use mesh::Node;
 use mesh::process::events::Sink;
-use platform::{Adapter, Settings, Store};
+use platform::{Adapter, Settings};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{self, SignalKind};
 use units::SystemClock;
@@ -38,7 +38,7 @@
     let mut term = unix::signal(SignalKind::terminate()).map_err(Error::Runtime)?;
     let mut int = unix::signal(SignalKind::interrupt()).map_err(Error::Runtime)?;
     let mut hup = unix::signal(SignalKind::hangup()).map_err(Error::Runtime)?;
-    let adapter = Adapter::new(SystemClock, Store::new(settings.store()));
+    let adapter = Adapter::new(SystemClock, settings.store());
     let node = Node::start(adapter, place, sink).await?;
     loop {
         tokio::select! {
