--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -1,11 +1,13 @@
 //! Which root requests are let in when a service in their tree has too little room.
 //!
 //! Every node learns from the others how many slots of each service are taken for each route of root requests, and
-//! which part of the root requests is let in. What would be taken if all were let in follows from these. Rooms are
-//! shared out by rank; what doesn't fit is refused at the entry, before any work is done for it.
+//! how many root requests are let in. Over some seconds the two give what one root request needs in its whole tree,
+//! and with what comes, what all of them would need. Rooms are shared out by rank; what doesn't fit is refused at the
+//! entry, before any work is done for it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use super::demand::Demand;
 use super::members::Rates;
@@ -14,19 +16,34 @@
 const PLANNED: f64 = 0.92;
 /// Part of each route that is let in before ranks are looked at, so that none is starved.
 const FLOOR: f64 = 0.3;
-/// Weight of a new measurement in what the root requests of a route want.
-const FRESH: f64 = 0.5;
+/// Span over which needs are learned: long against the time of a tree, so that what is taken late does not look like
+/// a need, and short against how long a slow upstream lasts.
+const SPAN: Duration = Duration::from_secs(4);
+/// Part of a service's slots under which it has room, whatever the needs say, and from which they are believed whole.
+const IDLE: f64 = 0.6;
+const BUSY: f64 = 0.8;
 /// Time in which what waits is to be worked off, in seconds.
 const WORK_OFF: f64 = 1.0;
+/// Rate under which nothing is known of a route.
+const LEAST: f64 = 0.1;
 /// Share from which everything counts as let in.
 const WHOLE: f64 = 0.999;
 
-/// Slots that the root requests of a route want, by service.
+/// Slots by service, for each route.
 type Wants = BTreeMap<Arc<str>, Rates>;
 
+/// What was let in and what it took, over some seconds.
+#[derive(Debug, Clone, Default)]
+struct Learned {
+    admitted: Rates,
+    used: Wants,
+    at: Option<Instant>,
+}
+
 /// Shares of root requests that are let in.
 #[derive(Debug, Clone, Default)]
 pub struct Admission {
+    learned: Learned,
     wants: Wants,
     shares: Rates,
     credit: Rates,
@@ -35,15 +52,14 @@
 
 impl Admission {
     /// Works the shares out anew; `ranks` gives the rank of each route.
-    pub fn plan(&mut self, demand: &Demand, ranks: &BTreeMap<Arc<str>, u8>) {
+    pub fn plan(&mut self, demand: &Demand, ranks: &BTreeMap<Arc<str>, u8>, now: Instant) {
         demand.called(&mut self.called);
         let offered = demand.offered();
-        let mut room: Rates = demand
-            .slots
-            .iter()
-            .map(|(service, slots)| (service.clone(), slots * PLANNED))
-            .collect();
-        self.learn(demand, &offered, &mut room);
+        let slots = demand.slots.iter();
+        let mut room: Rates =
+            slots.map(|(service, slots)| (service.clone(), slots * PLANNED)).collect();
+        self.learned.take(demand, now);
+        self.want(demand, &offered, &mut room);
         let mut routes: Vec<Arc<str>> =
             offered.into_keys().filter(|route| !self.called.contains(route)).collect();
         let rank = |route: &Arc<str>| ranks.get(route).copied().unwrap_or(u8::MAX);
@@ -109,29 +125,51 @@
         }
     }
 
-    /// Takes what is used now, and what waits, for what would be used if everything were let in.
-    fn learn(&mut self, demand: &Demand, offered: &Rates, room: &mut Rates) {
-        for want in self.wants.values_mut().flat_map(|wants| wants.values_mut()) {
-            *want *= 1.0 - FRESH;
+    /// Works out the slots that all would take if everything were let in.
+    fn want(&mut self, demand: &Demand, offered: &Rates, room: &mut Rates) {
+        self.wants.clear();
+        for (route, admitted) in &self.learned.admitted {
+            // Calls whose root is not known can't be refused at an entry.
+            let called = self.called.contains(route);
+            let ratio = offered.get(route).copied().unwrap_or_default() / admitted;
+            for (service, used) in self.learned.used.get(route).into_iter().flatten() {
+                let want = used * ratio * demand.pressure(service, IDLE, BUSY, WORK_OFF);
+                if !called {
+                    self.wants.entry(route.clone()).or_default().insert(service.clone(), want);
+                }
+            }
+        }
+        for (service, used) in &demand.used {
+            let unknown = used.iter().filter(|(route, _)| self.called.contains(*route));
+            let unknown: f64 = unknown.map(|(_, slots)| slots).sum();
+            if let Some(free) = room.get_mut(service) {
+                *free -= unknown;
+            }
+        }
+    }
+}
+
+impl Learned {
+    /// Lets earlier measurements fade and adds the new ones.
+    fn take(&mut self, demand: &Demand, now: Instant) {
+        let passed = self.at.map_or(SPAN * 100, |at| now.saturating_duration_since(at));
+        self.at = Some(now);
+        let keep = (-passed.as_secs_f64() / SPAN.as_secs_f64()).exp();
+        for rate in self.admitted.values_mut() {
+            *rate *= keep;
+        }
+        for slots in self.used.values_mut().flat_map(|used| used.values_mut()) {
+            *slots *= keep;
+        }
+        for (route, admitted) in &demand.admitted {
+            *self.admitted.entry(route.clone()).or_default() += admitted * (1.0 - keep);
         }
         for (service, used) in &demand.used {
-            let total: f64 = used.values().sum();
-            let backlog = demand.backlog.get(service).copied().unwrap_or_default() / WORK_OFF;
-            let pressed = if total > 0.0 { 1.0 + backlog / total } else { 1.0 };
             for (route, slots) in used {
-                if self.called.contains(route) {
-                    // Calls whose root is not known can't be refused at an entry.
-                    if let Some(free) = room.get_mut(service) {
-                        *free -= slots;
-                    }
-                    continue;
-                }
-                let offered = offered.get(route).copied().unwrap_or_default();
-                let admitted = demand.admitted.get(route).copied().unwrap_or_default();
-                let all = if admitted > 0.0 { (offered / admitted).max(1.0) } else { 1.0 };
-                let wants = self.wants.entry(route.clone()).or_default();
-                *wants.entry(service.clone()).or_default() += slots * pressed * all * FRESH;
+                let known = self.used.entry(route.clone()).or_default();
+                *known.entry(service.clone()).or_default() += slots * (1.0 - keep);
             }
         }
+        self.admitted.retain(|_, rate| *rate > LEAST);
     }
 }
--- a/components/mesh/src/decide/demand.rs
+++ b/components/mesh/src/decide/demand.rs
@@ -64,6 +64,20 @@
         offered
     }
 
+    /// Factor for what a service's requests are said to want: more where some wait, which have to be worked off in
+    /// `work_off` seconds; less where less than the part `busy` of the slots is taken, and nothing under the part
+    /// `idle`, as then there is room, whatever is said.
+    pub fn pressure(&self, service: &str, idle: f64, busy: f64, work_off: f64) -> f64 {
+        let taken: f64 = self.used.get(service).map_or(0.0, |used| used.values().sum());
+        let slots = self.slots.get(service).copied().unwrap_or_default();
+        if taken <= 0.0 || slots <= 0.0 {
+            return 1.0;
+        }
+        let backlog = self.backlog.get(service).copied().unwrap_or_default() / work_off;
+        let load = (taken + backlog) / slots;
+        ((load - idle) / (busy - idle)).clamp(0.0, 1.0) * (1.0 + backlog / taken)
+    }
+
     /// Brings up to date which routes upstreams call. Callers use all nodes alike, so a route of theirs comes to the
     /// nodes of every service; one that never comes to some service's nodes is called by the upstreams of others.
     pub fn called(&self, known: &mut BTreeSet<Arc<str>>) {
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -331,7 +331,7 @@
     let ranks = shared.ranks();
     let mut own = lock(&shared.plan);
     let before = plan::describe(&own.admission, &ranks);
-    own.admission.plan(&demand, &ranks);
+    own.admission.plan(&demand, &ranks, shared.now());
     let shares = plan::describe(&own.admission, &ranks);
     drop(own);
     if before != shares {
--- a/components/mesh/tests/admission.rs
+++ b/components/mesh/tests/admission.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use mesh::decide::admission::Admission;
@@ -17,6 +18,8 @@
 ];
 const STOCK: f64 = 44.0;
 const FRONT: f64 = 180.0;
+/// Time between two plans.
+const ROUND: Duration = Duration::from_millis(500);
 
 fn name(text: &str) -> Arc<str> {
     text.into()
@@ -52,8 +55,9 @@
 fn settled(rates: &[f64; 4]) -> [f64; 4] {
     let mut admission = Admission::default();
     let mut shares = [1.0; 4];
-    for _ in 0..40 {
-        admission.plan(&demand(rates, &shares), &ranks());
+    let start = Instant::now();
+    for round in 0..40 {
+        admission.plan(&demand(rates, &shares), &ranks(), start + round * ROUND);
         shares = ROUTES.map(|(route, ..)| admission.share(&name(route)));
     }
     shares
@@ -84,12 +88,32 @@
     expect_that!(order, ge(0.05));
 }
 
+/// The load that this answers: a surge begins while measurements are old; slots look taken that no root let in needs.
+#[gtest]
+fn a_service_with_room_is_no_reason_to_refuse() {
+    let mut admission = Admission::default();
+    let start = Instant::now();
+    let mut early = demand(&[32.0, 28.0, 17.0, 87.0], &[1.0; 4]);
+    for rate in early.admitted.values_mut() {
+        // The nodes at the entry were heard of before the surge, those at the service after it.
+        *rate *= 0.2;
+    }
+    admission.plan(&early, &ranks(), start);
+    let shares = ROUTES.map(|(route, ..)| admission.share(&name(route)));
+    expect_that!(shares, each(ge(0.99)));
+}
+
 #[gtest]
 fn shares_are_kept_exactly() {
     let mut admission = Admission::default();
-    for _ in 0..40 {
+    let start = Instant::now();
+    for round in 0..40 {
         let shares = ROUTES.map(|(route, ..)| admission.share(&name(route)));
-        admission.plan(&demand(&[79.0, 68.0, 43.0, 216.0], &shares), &ranks());
+        admission.plan(
+            &demand(&[79.0, 68.0, 43.0, 216.0], &shares),
+            &ranks(),
+            start + round * ROUND,
+        );
     }
     let share = admission.share(&name("list"));
     let admitted = (0..1_000).filter(|_| admission.admits(&name("list"))).count() as f64;
@@ -108,10 +132,10 @@
     let mut demand = demand(&[32.0, 28.0, 17.0, 87.0], &[1.0; 4]);
     demand.came.entry(name("front")).or_default().insert(name("lookup"), 60.0);
     let mut admission = Admission::default();
-    admission.plan(&demand, &ranks());
+    admission.plan(&demand, &ranks(), Instant::now());
     expect_that!(admission.is_called(&name("lookup")), eq(true));
     expect_that!(admission.is_called(&name("list")), eq(false));
     demand.came.entry(name("stock")).or_default().insert(name("lookup"), 60.0);
-    admission.plan(&demand, &ranks());
+    admission.plan(&demand, &ranks(), Instant::now());
     expect_that!(admission.is_called(&name("lookup")), eq(false));
 }
