Use an upstream until shortly before its node ends, and from the start of its next life

Cause: with every planned restart of a node its upstream, which goes on, took no work for 4.1 s: from SIGTERM (2.6 s until the end), through the start, to its next beat (1.5 s).

--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -47,6 +47,24 @@
     pub standing: Standing,
     /// Requests that the upstream runs at once.
     pub slots: u32,
+    /// The upstream as it was when the process was stopped, for its next life.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parting: Option<Parting>,
+}
+
+/// An upstream that went on while its node was stopped.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Parting {
+    /// Its id.
+    pub id: String,
+    /// Milliseconds since the epoch at its start.
+    pub born: u64,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Number of its last beat.
+    pub sequence: u64,
+    /// Time of day when the node was stopped, in milliseconds.
+    pub at: u64,
 }
 
 /// A rate of one route, by the route's name.
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -1,6 +1,7 @@
 //! What the platform and the upstream ask of the node: whether it takes work, and to hear announcements.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -9,7 +10,8 @@
 use super::events::Event;
 use super::shared::{Shared, lock, standing};
 use super::upstream::Change;
-use crate::platform::{Announcement, Platform};
+use crate::decide::members::Standing;
+use crate::platform::{Announcement, Beat, Platform};
 
 /// Largest announcement.
 const ANNOUNCEMENT_LARGEST: usize = 64 << 10;
@@ -32,6 +34,10 @@
         return response(StatusCode::BAD_REQUEST, "the body can't be read");
     };
     let body = body.to_bytes();
+    if shared.parting.load(Ordering::Relaxed) {
+        // What is acknowledged now would be forgotten; the next life of the node hears of it.
+        return response(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+    }
     match shared.platform.announcement(&parts.method, parts.uri.path(), &body) {
         Ok(announcement) => take(&shared, announcement),
         Err(why) => {
@@ -56,22 +62,27 @@
         let known = upstream.known().cloned();
         (change, known.map(|beat| (beat, upstream.standing())))
     };
-    if let (Change::Started | Change::Updated, Some((beat, now_standing))) = (change, told) {
-        shared.tell(&Event::UpstreamChanged {
-            id: &beat.id,
-            standing: standing(now_standing),
-            slots: beat.slots,
-            sequence: beat.sequence,
-        });
-        shared.gate.set_slots(beat.slots);
-        if change == Change::Started {
-            shared.lanes.close(shared.place.upstream);
-        }
-        shared.publish();
+    if let (Change::Started | Change::Updated, Some((beat, standing))) = (change, told) {
+        changed(shared, &beat, standing, change == Change::Started);
     }
     response(StatusCode::OK, "{}")
 }
 
+/// Goes by a new state of the upstream.
+pub fn changed<P: Platform>(shared: &Shared<P>, beat: &Beat, now: Standing, started: bool) {
+    shared.tell(&Event::UpstreamChanged {
+        id: &beat.id,
+        standing: standing(now),
+        slots: beat.slots,
+        sequence: beat.sequence,
+    });
+    shared.gate.set_slots(beat.slots);
+    if started {
+        shared.lanes.close(shared.place.upstream);
+    }
+    shared.publish();
+}
+
 /// Metrics as text.
 pub async fn metrics<P: Platform>(shared: Arc<Shared<P>>) -> Response<Full<Bytes>> {
     let load = shared.gate.load();
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use quarantine::{Death, Fingerprint, Told};
 use serde::{Deserialize, Serialize};
-use units::{Clock, NodeId};
+use units::NodeId;
 
 use super::events::Event;
 use super::plan;
@@ -271,16 +271,10 @@
     }
     let mut regions = lock(&shared.regions).clone();
     regions.remove(reader);
-    regions.insert(shared.place.region.clone(), Summary { stamp: stamp(shared), demand, silent });
+    regions.insert(shared.place.region.clone(), Summary { stamp: shared.stamp(), demand, silent });
     regions
 }
 
-/// Time of day in milliseconds.
-fn stamp<P: Platform>(shared: &Shared<P>) -> u64 {
-    let wall = shared.platform.clock().wall();
-    wall.duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 fn learn<P: Platform>(shared: &Shared<P>, suspect: Suspect, now: Instant) {
     let death = Death { node: suspect.node, epoch: suspect.epoch };
     let told =
@@ -318,7 +312,7 @@
             demand.add(member);
         }
     }
-    let oldest = stamp(shared).saturating_sub(OLD.as_millis() as u64);
+    let oldest = shared.stamp().saturating_sub(OLD.as_millis() as u64);
     for summary in lock(&shared.regions).values().filter(|summary| summary.stamp > oldest) {
         demand.merge(&summary.demand);
     }
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -4,10 +4,11 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use super::control;
 use super::events::Event;
 use super::shared::{Shared, lock};
-use crate::decide::members::{Record, Told};
-use crate::platform::{Platform, StoreError};
+use crate::decide::members::{Parting, Record, Standing, Told};
+use crate::platform::{Beat, Platform, State, StoreError};
 
 /// Longest wait for a change in one call of the store: calls are priced, and a new one finds a silent connection.
 const WAIT: Duration = Duration::from_secs(12);
@@ -17,6 +18,9 @@
 /// Pauses before the records are read again after a start, when all others start as well.
 const REREADS: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_500)];
 
+/// Time for which the word of the last life counts: a stop and a start take less.
+const PARTING_FRESH: Duration = Duration::from_secs(6);
+
 /// Pauses between tries, and what the log is told of them.
 struct Trouble {
     pause: Duration,
@@ -84,6 +88,7 @@
         match shared.platform.records().await {
             Ok(records) => {
                 trouble.over(&shared, "records");
+                resume(&shared, &records);
                 merge(&shared, &records);
                 break;
             }
@@ -109,6 +114,31 @@
     }
 }
 
+/// Goes by what the last life of this node knew of the upstream when it was stopped.
+fn resume<P: Platform>(shared: &Shared<P>, records: &[bytes::Bytes]) {
+    let own = records.iter().filter_map(|record| serde_json::from_slice::<Record>(record).ok());
+    let last = own.filter(|record| record.node == shared.place.node).max_by_key(|own| own.life);
+    let parting = last.and_then(|record| record.parting);
+    let fresh = parting.filter(|parting| {
+        shared.stamp().saturating_sub(parting.at) < PARTING_FRESH.as_millis() as u64
+    });
+    let Some(Parting { id, born, slots, sequence, .. }) = fresh else { return };
+    let beat = Beat {
+        id,
+        born,
+        sequence,
+        slots,
+        service: shared.place.service.to_string(),
+        address: shared.place.upstream,
+        state: State::Ready,
+        cold: Duration::ZERO,
+    };
+    let resumed = lock(&shared.upstream).resume(beat.clone(), shared.now());
+    if resumed {
+        control::changed(shared, &beat, Standing::Ready, true);
+    }
+}
+
 fn merge<P: Platform>(shared: &Shared<P>, records: &[bytes::Bytes]) {
     let now = shared.now();
     for record in records {
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -14,10 +14,14 @@
 use super::serve::{self, Side};
 use super::shared::{Shared, lock};
 use super::{control, exchange, follow};
+use crate::decide::members::Record;
 use crate::platform::Platform;
 
 /// Time after SIGTERM in which callers still come: the platform notices after two questions, a second apart.
 const NOTICED: Duration = Duration::from_millis(2_600);
+/// Time before the end in which other nodes hear that nothing more is to be sent here. Until then the upstream, which
+/// goes on without its node, is used as ever.
+const HANDOVER: Duration = Duration::from_millis(700);
 /// Part of the time to stop that is left for ending connections.
 const RESERVE: Duration = Duration::from_millis(500);
 const POLL: Duration = Duration::from_millis(20);
@@ -96,23 +100,46 @@
         let load = shared.gate.load();
         shared.tell(&Event::Stopping { running: load.running, waiting: load.waiting });
         shared.stopping.send_replace(true);
-        shared.publish();
         let bound = shared.place.grace.saturating_sub(RESERVE);
-        tokio::time::sleep(NOTICED.min(bound)).await;
+        tokio::time::sleep(NOTICED.min(bound).saturating_sub(HANDOVER)).await;
+        self.part().await;
         self.outer.send_replace(true);
         let finished = tokio::time::timeout(bound.saturating_sub(NOTICED), self.finish()).await;
         let left = if finished.is_ok() { 0 } else { shared.open.load(Ordering::Relaxed) as usize };
         self.last.send_replace(true);
-        for task in self.helpers.iter().chain(&self.listeners) {
+        for task in self.helpers.drain(..).chain(self.listeners.drain(..)) {
             task.abort();
+            // Its listener is closed when it has ended; that it was aborted is no news.
+            let _ = task.await;
         }
         shared.tell(&Event::Stopped { left });
         shared.sink.flush(POLL);
         left
     }
 
+    /// Tells other nodes to send nothing more, and the next life of this one what it may go by.
+    async fn part(&self) {
+        let shared = &self.shared;
+        shared.parting.store(true, Ordering::Relaxed);
+        shared.publish();
+        let record = {
+            let parting = lock(&shared.upstream).parting(shared.stamp());
+            lock(&shared.table).own().map(|own| Record { parting, ..own.record.clone() })
+        };
+        let keep = async {
+            let Some(record) = record.filter(|record| record.parting.is_some()) else { return };
+            let Ok(bytes) = serde_json::to_vec(&record) else { return };
+            if let Err(err) = shared.platform.keep(&shared.place.node, bytes).await {
+                // The next life waits for the upstream's next beat instead.
+                shared.tell(&Event::StoreLost { why: &err.to_string() });
+            }
+        };
+        let handover = tokio::time::sleep(HANDOVER);
+        let _ = tokio::join!(handover, tokio::time::timeout(HANDOVER, keep));
+    }
+
     async fn finish(&mut self) {
-        for listener in &mut self.listeners {
+        for listener in self.listeners.drain(..) {
             // A listener that has panicked has no requests left.
             let _ = listener.await;
         }
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode, header};
@@ -171,7 +172,7 @@
     call::set(response.headers_mut(), call::LOAD, Report(shared.gate.load()));
     let leaving =
         matches!(header, outcome::Header::Refused(refusal) if refusal.why == Why::Leaving);
-    if leaving && *shared.stopping.borrow() {
+    if leaving || shared.parting.load(Ordering::Relaxed) {
         call::set(response.headers_mut(), header::CONNECTION, "close");
     }
     response
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -96,6 +96,8 @@
     pub open: AtomicU32,
     /// Set when the process stops.
     pub stopping: watch::Sender<bool>,
+    /// The process ends soon: nothing new is taken from other nodes, and no announcement of the upstream.
+    pub parting: AtomicBool,
     /// The store was read once, or other nodes were.
     pub oriented: AtomicBool,
     active: RwLock<Option<Arc<Configuration>>>,
@@ -117,6 +119,7 @@
             service: place.service.clone(),
             standing: Standing::Unknown,
             slots: 0,
+            parting: None,
         };
         Ok(Self {
             metrics: Metrics::new()?,
@@ -137,6 +140,7 @@
             urgent: Notify::new(),
             open: AtomicU32::new(0),
             stopping: watch::Sender::new(false),
+            parting: AtomicBool::new(false),
             oriented: AtomicBool::new(false),
             active: RwLock::new(None),
             platform,
@@ -149,6 +153,12 @@
         self.platform.clock().now()
     }
 
+    /// Time of day in milliseconds, for other machines to compare.
+    pub fn stamp(&self) -> u64 {
+        let wall = self.platform.clock().wall();
+        wall.duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    }
+
     /// Writes an event to the log.
     pub fn tell(&self, event: &Event<'_>) {
         let clock = self.platform.clock();
@@ -214,8 +224,8 @@
             let upstream = lock(&self.upstream);
             (upstream.standing(), upstream.known().map_or(0, |beat| beat.slots))
         };
-        let stopping = *self.stopping.borrow();
-        let standing = if stopping { Standing::Leaving } else { standing };
+        let parting = self.parting.load(Ordering::Relaxed);
+        let standing = if parting { Standing::Leaving } else { standing };
         let changed = lock(&self.table).change(|own| {
             own.standing = standing;
             own.slots = slots;
--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::decide::members::Standing;
+use crate::decide::members::{Parting, Standing};
 use crate::platform::{Announcement, Beat, State};
 
 /// Beats that are missed before another incarnation is believed whatever its start.
@@ -51,6 +51,23 @@
         }
     }
 
+    /// Takes what an earlier life of the node knew when it was stopped, if nothing newer is known. The id that
+    /// requests are pinned to keeps them from another incarnation.
+    pub fn resume(&mut self, beat: Beat, now: Instant) -> bool {
+        let unknown = self.beat.is_none();
+        if unknown {
+            self.start(beat, now);
+        }
+        unknown
+    }
+
+    /// What the next life of the node may go by; nothing if the upstream leaves.
+    pub fn parting(&self, at: u64) -> Option<Parting> {
+        let Beat { id, born, slots, sequence, .. } = self.beat.as_ref()?;
+        let (id, born, slots, sequence) = (id.clone(), *born, *slots, *sequence);
+        self.leaving.is_none().then_some(Parting { id, born, slots, sequence, at })
+    }
+
     /// Whether it takes work.
     pub fn standing(&self) -> Standing {
         match (&self.beat, self.leaving) {
--- a/components/mesh/tests/members.rs
+++ b/components/mesh/tests/members.rs
@@ -19,6 +19,7 @@
         service: "s".into(),
         standing: Standing::Ready,
         slots: 4,
+        parting: None,
     }
 }
 
