--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -48,12 +48,15 @@
     shares: Rates,
     credit: Rates,
     called: BTreeSet<Arc<str>>,
+    /// Services whose upstreams call others.
+    calling: BTreeSet<Arc<str>>,
 }
 
 impl Admission {
     /// Works the shares out anew; `ranks` gives the rank of each route.
     pub fn plan(&mut self, demand: &Demand, ranks: &BTreeMap<Arc<str>, u8>, now: Instant) {
         demand.called(&mut self.called);
+        self.calling = demand.calling(&self.called);
         let offered = demand.offered();
         let slots = demand.slots.iter();
         let mut room: Rates =
@@ -99,6 +102,11 @@
         self.called.contains(route)
     }
 
+    /// Whether upstreams of the service call others, as far as is known.
+    pub fn calls(&self, service: &Arc<str>) -> bool {
+        self.called.is_empty() || self.calling.contains(service)
+    }
+
     /// Gives routes a further share, up to `most`, as far as every service of their trees has room for it.
     fn share_out(&mut self, routes: &[Arc<str>], most: f64, room: &mut Rates) {
         let mut wanted = Rates::new();
--- a/components/mesh/src/decide/budget.rs
+++ b/components/mesh/src/decide/budget.rs
@@ -1,7 +1,9 @@
 //! Retries as a share of first sends.
 
-/// Part of first sends that may be sent again; half of the fleet's share, as a repeated run repeats its calls too.
-const RATIO: f64 = 0.1;
+/// Part of first sends that may be sent again, to services whose upstreams call no further and to others. A request
+/// that runs again makes its calls again: the first share and three times the second stay under the fleet's fifth.
+const LAST_RATIO: f64 = 0.12;
+const CALLING_RATIO: f64 = 0.025;
 /// Repeats that may be saved up, so that a whole fleet stays under the fleet's slack.
 const SAVED: f64 = 2.0;
 
@@ -18,9 +20,10 @@
 }
 
 impl Budget {
-    /// A request was sent for the first time.
-    pub fn first(&mut self) {
-        self.tokens = (self.tokens + RATIO).min(SAVED);
+    /// A request was sent for the first time, to a service whose upstreams call further or don't.
+    pub fn first(&mut self, calls: bool) {
+        let ratio = if calls { CALLING_RATIO } else { LAST_RATIO };
+        self.tokens = (self.tokens + ratio).min(SAVED);
     }
 
     /// Pays for a repeat.
--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -15,6 +15,12 @@
 /// Cost of a node that is avoided: it is used only if all are.
 const AVOIDED: Duration = Duration::from_secs(60);
 
+/// What a request that is spoilt is worth, in time: it is sent again, or its tree has failed.
+const SPOILT_COST: Duration = Duration::from_millis(400);
+/// Weight of one outcome in the part that is spoilt, and time in which that part fades where nothing is sent.
+const SPOILT_WEIGHT: f64 = 0.1;
+const SPOILT_FADE: Duration = Duration::from_secs(3);
+
 /// How far away a node is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
@@ -35,6 +41,9 @@
     reported: u32,
     failures: u32,
     rests: Option<Instant>,
+    /// Part of its outcomes that were spoilt, at the moment of the last.
+    spoilt: f64,
+    judged: Instant,
 }
 
 impl Peer {
@@ -47,6 +56,8 @@
             reported: 0,
             failures: 0,
             rests: None,
+            spoilt: 0.0,
+            judged: now,
         }
     }
 
@@ -92,6 +103,18 @@
         self.rests = Some(now + rest);
     }
 
+    /// Its upstream answered, or lost or refused what it was sent.
+    pub fn judge(&mut self, good: bool, now: Instant) {
+        let bad = if good { 0.0 } else { 1.0 };
+        self.spoilt = self.faded(now) * (1.0 - SPOILT_WEIGHT) + bad * SPOILT_WEIGHT;
+        self.judged = now;
+    }
+
+    fn faded(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.judged).as_secs_f64();
+        self.spoilt * (-age / SPOILT_FADE.as_secs_f64()).exp()
+    }
+
     fn wait(&self, now: Instant) -> Duration {
         if self.report.limit == 0 {
             return Duration::ZERO;
@@ -112,6 +135,7 @@
             Tier::Far => REGION_COST,
         };
         let avoid = avoid || self.rests(now);
-        self.wait(now) + place + if avoid { AVOIDED } else { Duration::ZERO }
+        let spoilt = SPOILT_COST.mul_f64(self.faded(now));
+        self.wait(now) + place + spoilt + if avoid { AVOIDED } else { Duration::ZERO }
     }
 }
--- a/components/mesh/src/decide/demand.rs
+++ b/components/mesh/src/decide/demand.rs
@@ -9,6 +9,8 @@
 
 /// Requests at one service's nodes from which the lack of any says something: seldom seen to be none by chance.
 const ENOUGH: f64 = 4.0;
+/// Rate from which a service's upstreams count as calling a route.
+const SOME: f64 = 1.0;
 /// Part of a fair share that counts as none.
 const NONE: f64 = 0.05;
 
@@ -78,6 +80,14 @@
         ((load - idle) / (busy - idle)).clamp(0.0, 1.0) * (1.0 + backlog / taken)
     }
 
+    /// Services whose upstreams make calls on the routes given.
+    pub fn calling(&self, called: &BTreeSet<Arc<str>>) -> BTreeSet<Arc<str>> {
+        let calls =
+            |came: &Rates| came.iter().any(|(route, rate)| *rate >= SOME && called.contains(route));
+        let services = self.came.iter().filter(|(_, came)| calls(came));
+        services.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Brings up to date which routes upstreams call. Callers use all nodes alike, so a route of theirs comes to the
     /// nodes of every service; one that never comes to some service's nodes is called by the upstreams of others.
     pub fn called(&self, known: &mut BTreeSet<Arc<str>>) {
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -77,6 +77,7 @@
     },
     PlanChanged {
         shares: String,
+        loads: String,
         version: u64,
     },
     Refused {
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -329,7 +329,8 @@
     let shares = plan::describe(&own.admission, &ranks);
     drop(own);
     if before != shares {
-        shared.tell(&Event::PlanChanged { shares, version: shared.version() });
+        let loads = plan::loads(&demand);
+        shared.tell(&Event::PlanChanged { shares, loads, version: shared.version() });
     }
 }
 
--- a/components/mesh/src/process/plan.rs
+++ b/components/mesh/src/process/plan.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::decide::admission::Admission;
+use crate::decide::demand::Demand;
 use crate::decide::members::{Pulse, Rates};
 use crate::decide::meter::Meter;
 use crate::decide::queue::Load;
@@ -73,6 +74,16 @@
     low.join(" ")
 }
 
+/// Slots taken, waiting and there, by service, for the log.
+pub fn loads(demand: &Demand) -> String {
+    let loads = demand.slots.iter().map(|(service, slots)| {
+        let used: f64 = demand.used.get(service).map_or(0.0, |used| used.values().sum());
+        let backlog = demand.backlog.get(service).copied().unwrap_or_default();
+        format!("{service}={used:.1}+{backlog:.1}/{slots:.0}")
+    });
+    loads.collect::<Vec<_>>().join(" ")
+}
+
 fn add(meters: &mut Meters, route: &Arc<str>, size: f64, now: Instant) {
     meters.entry(route.clone()).or_insert_with(|| Meter::new(SPAN, now)).add(size, now);
 }
--- a/components/mesh/src/request/tries.rs
+++ b/components/mesh/src/request/tries.rs
@@ -67,7 +67,8 @@
     head: &Head,
     body: &Bytes,
 ) -> Ended<P> {
-    lock(&shared.budgets).entry(plan.call.service.clone()).or_default().first();
+    let calls = lock(&shared.plan).admission.calls(&plan.call.service);
+    lock(&shared.budgets).entry(plan.call.service.clone()).or_default().first(calls);
     let refusal = Refusal::new(Why::NoUpstream);
     let mut tries = Tries { shared, plan, head, tried: Vec::new(), sent: 0, fault: None, refusal };
     while let Some((target, call)) = tries.next() {
@@ -115,9 +116,12 @@
         let now = self.shared.now();
         let node = &target.record.node;
         match outcome {
-            Outcome::Answer { head, body, unrun: false } => return Some((head, body)),
+            Outcome::Answer { head, body, unrun: false } => {
+                self.shared.peer(node, |peer| peer.judge(true, now));
+                return Some((head, body));
+            }
             Outcome::Answer { head, body, unrun: true } => {
-                self.shared.peer(node, |peer| peer.failed(now));
+                self.shared.peer(node, |peer| peer.judge(false, now));
                 self.sent += 1;
                 let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
                 let why = if misdirected { "misdirected" } else { "shed" };
@@ -132,9 +136,12 @@
                 }
             }
             Outcome::Failed(fault) => {
-                if matches!(fault, Fault::Died | Fault::Lost) {
-                    self.shared.peer(node, |peer| peer.failed(now));
-                }
+                self.shared.peer(node, |peer| {
+                    peer.judge(fault == Fault::Late, now);
+                    if fault == Fault::Died {
+                        peer.failed(now);
+                    }
+                });
                 self.sent += 1;
                 self.fault = Some(fault);
             }
