--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -18,7 +18,7 @@
 const FLOOR: f64 = 0.3;
 /// Span over which needs are learned: long against the time of a tree, so that what is taken late does not look like
 /// a need, and short against how long a slow upstream lasts.
-const SPAN: Duration = Duration::from_secs(4);
+const SPAN: Duration = Duration::from_millis(2_500);
 /// Part of a service's slots under which it has room, whatever the needs say, and from which they are believed whole.
 const IDLE: f64 = 0.6;
 const BUSY: f64 = 0.8;
--- a/components/mesh/src/process/plan.rs
+++ b/components/mesh/src/process/plan.rs
@@ -11,7 +11,7 @@
 use crate::decide::queue::Load;
 
 /// Span over which rates fade.
-const SPAN: Duration = Duration::from_millis(1_500);
+const SPAN: Duration = Duration::from_millis(800);
 /// Rates under this are left out of a pulse.
 const LEAST: f64 = 0.05;
 
