--- a/components/mesh/src/decide/budget.rs
+++ b/components/mesh/src/decide/budget.rs
@@ -5,7 +5,9 @@
 const LAST_RATIO: f64 = 0.12;
 const CALLING_RATIO: f64 = 0.025;
 /// Repeats that may be saved up, so that a whole fleet stays under the fleet's slack.
-const SAVED: f64 = 2.0;
+const SAVED: f64 = 3.0;
+/// Repeats that are left for the most urgent requests when others want one.
+const RESERVED: f64 = 1.0;
 
 /// Repeats that a node may still send to one service.
 #[derive(Debug, Clone)]
@@ -15,7 +17,7 @@
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: 1.0 }
+        Self { tokens: 1.0 + RESERVED }
     }
 }
 
@@ -26,9 +28,10 @@
         self.tokens = (self.tokens + ratio).min(SAVED);
     }
 
-    /// Pays for a repeat.
-    pub fn take(&mut self) -> bool {
-        let paid = self.tokens >= 1.0;
+    /// Pays for a repeat. Where most requests fail, what there is goes to the most urgent ones: a tree that needs many
+    /// calls is whole only if all of them are.
+    pub fn take(&mut self, urgent: bool) -> bool {
+        let paid = self.tokens >= if urgent { 1.0 } else { 1.0 + RESERVED };
         if paid {
             self.tokens -= 1.0;
         }
--- a/components/mesh/src/request/tries.rs
+++ b/components/mesh/src/request/tries.rs
@@ -162,7 +162,11 @@
         if self.sent >= u32::from(route.attempts) || left.is_zero() {
             return false;
         }
-        if !lock(&self.shared.budgets).entry(call.service.clone()).or_default().take() {
+        if !lock(&self.shared.budgets)
+            .entry(call.service.clone())
+            .or_default()
+            .take(call.root.rank == 0)
+        {
             return false;
         }
         self.shared.metrics.retries.with_label_values(&[why]).inc();
--- a/components/mesh/tests/small.rs
+++ b/components/mesh/tests/small.rs
@@ -31,7 +31,7 @@
     let mut repeats = 0;
     for _ in 0..1_000 {
         budget.first(calls);
-        while budget.take() {
+        while budget.take(true) {
             repeats += 1;
         }
     }
@@ -44,6 +44,22 @@
     expect_that!(repeats(true), all!(ge(20), le(30)), "their calls are repeated too");
 }
 
+/// The load that this answers: a service sheds half of everything, and trees need up to eight of its calls.
+#[gtest]
+fn when_most_fails_repeats_go_to_the_most_urgent() {
+    let mut budget = Budget::default();
+    let mut repeats = [0, 0];
+    for round in 0..2_000 {
+        budget.first(false);
+        let urgent = round % 3 == 0;
+        if round % 2 == 0 && budget.take(urgent) {
+            repeats[usize::from(urgent)] += 1;
+        }
+    }
+    expect_that!(repeats[1], ge(200), "nearly all that there are");
+    expect_that!(repeats[0], le(5));
+}
+
 /// The load that this answers: half of the upstreams lose a third of their answers.
 #[gtest]
 fn a_node_that_spoils_requests_is_avoided_while_others_have_room() {
