Tests that know when all nodes know each other, and that notice when their mechanism is gone

Cause: with a mechanism taken out four tests still passed: a node that does not know the other has nowhere to repeat a request, and a later version hid an older one. Now the harness waits for the gauge of known nodes.

--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -232,6 +232,12 @@
         self.entries.get(&self.own).map(|entry| &entry.member)
     }
 
+    /// Number of nodes whose upstreams take work.
+    pub fn ready(&self) -> usize {
+        let ready = |entry: &&Entry| entry.member.record.standing == Standing::Ready;
+        self.entries.values().filter(ready).count()
+    }
+
     /// A node.
     pub fn get(&self, node: &str) -> Option<&Member> {
         self.entries.get(node).map(|entry| &entry.member)
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -86,6 +86,7 @@
 /// Metrics as text.
 pub async fn metrics<P: Platform>(shared: Arc<Shared<P>>) -> Response<Full<Bytes>> {
     let load = shared.gate.load();
+    shared.metrics.members.set(lock(&shared.table).ready() as i64);
     shared.metrics.running.set(i64::from(load.running));
     shared.metrics.waiting.set(i64::from(load.waiting));
     match shared.metrics.text() {
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -29,6 +29,8 @@
     pub waited: Histogram,
     /// Version of the configuration in force.
     pub version: IntGauge,
+    /// Nodes that are known and whose upstreams take work.
+    pub members: IntGauge,
     /// Requests that run at the upstream.
     pub running: IntGauge,
     /// Requests that wait for it.
@@ -70,6 +72,7 @@
             held: histogram("held_seconds", "Time that a slot of the upstream is held.")?,
             waited: histogram("waited_seconds", "Time that a request waits for a slot.")?,
             version: gauge("configuration_version", "Version of the configuration in force.")?,
+            members: gauge("members_ready", "Nodes known whose upstreams take work.")?,
             running: gauge("upstream_running", "Requests that run at the upstream.")?,
             waiting: gauge("upstream_waiting", "Requests that wait for the upstream.")?,
             registry,
