--- a/components/node/src/process/admin.rs
+++ b/components/node/src/process/admin.rs
@@ -8,7 +8,6 @@
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Html, Json};
 use poem::{Endpoint, EndpointExt, Request, Route, get, handler, post};
-use prometheus::TextEncoder;
 use serde::Serialize;
 use units::{Author, Clock, DomainName, NodeId, ServiceName};
 
@@ -216,7 +215,7 @@
 }
 
 fn metrics<C: Clock>(shared: &Shared<C>) -> String {
-    TextEncoder::new().encode_to_string(&shared.metrics.registry().gather()).unwrap_or_default()
+    shared.metrics.text().unwrap_or_default()
 }
 
 fn status<C: Clock>(shared: &Shared<C>) -> Status {
--- a/components/node/src/process/metrics.rs
+++ b/components/node/src/process/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and gauges of the node.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use board::Board;
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 use routing::Tier;
 use verdict::{Reason, Verdict};
 
@@ -8,7 +9,7 @@
 
 /// All metrics of one node, in a registry of its own.
 pub struct Metrics {
-    registry: Registry,
+    board: Board,
     calls: IntCounterVec,
     refusals: IntCounterVec,
     retries: IntCounterVec,
@@ -39,54 +40,53 @@
 impl Metrics {
     /// Metrics at zero.
     pub fn new() -> prometheus::Result<Self> {
-        let registry = Registry::new();
-        let vec = |name: &str, help: &str, labels: &[&str]| -> prometheus::Result<IntCounterVec> {
-            let metric = IntCounterVec::new(Opts::new(format!("almondknot_{name}"), help), labels)?;
-            registry.register(Box::new(metric.clone()))?;
-            Ok(metric)
-        };
-        let gauge = |name: &str, help: &str| -> prometheus::Result<IntGauge> {
-            let metric = IntGauge::new(format!("almondknot_{name}"), help)?;
-            registry.register(Box::new(metric.clone()))?;
-            Ok(metric)
-        };
-        let attempts = IntCounter::new(
-            "almondknot_attempts_total",
-            "Calls sent to a node, first tries and retries.",
-        )?;
-        registry.register(Box::new(attempts.clone()))?;
+        let board = Board::new();
         Ok(Self {
-            attempts,
-            calls: vec(
+            attempts: board
+                .counter("attempts_total", "Calls sent to a node, first tries and retries.")?,
+            calls: board.counters(
                 "calls_total",
                 "Calls by rule, class and outcome.",
                 &["rule", "class", "outcome"],
             )?,
-            refusals: vec("refusals_total", "Refusals by this node.", &["reason", "verdict"])?,
-            retries: vec("retries_total", "Decisions on failed calls.", &["decision"])?,
-            path: vec(
+            refusals: board.counters(
+                "refusals_total",
+                "Refusals by this node.",
+                &["reason", "verdict"],
+            )?,
+            retries: board.counters(
+                "retries_total",
+                "Decisions on failed calls.",
+                &["decision"],
+            )?,
+            path: board.counters(
                 "path_bytes_total",
                 "Bytes of answers from other nodes by distance.",
                 &["tier"],
             )?,
-            control: vec("control_bytes_total", "Bytes of control traffic.", &["direction"])?,
-            changes: vec("changes_total", "Changes of membership seen.", &["status"])?,
-            version: gauge("configuration_version", "Version of the configuration in force.")?,
-            running: gauge("upstream_running", "Requests that run at the upstream.")?,
-            waiting: gauge("upstream_waiting", "Requests that wait for the upstream.")?,
-            limit: gauge("upstream_limit", "Concurrency limit of the upstream.")?,
-            level: gauge("upstream_level", "Admission level of the upstream.")?,
-            members: gauge("members", "Members that are there.")?,
-            log_down: gauge("log_down", "1 when the last read of the log failed.")?,
-            keys: gauge("keys", "Keys that this node holds.")?,
-            links: gauge("links", "Connections to other nodes.")?,
-            registry,
+            control: board.counters(
+                "control_bytes_total",
+                "Bytes of control traffic.",
+                &["direction"],
+            )?,
+            changes: board.counters("changes_total", "Changes of membership seen.", &["status"])?,
+            version: board
+                .gauge("configuration_version", "Version of the configuration in force.")?,
+            running: board.gauge("upstream_running", "Requests that run at the upstream.")?,
+            waiting: board.gauge("upstream_waiting", "Requests that wait for the upstream.")?,
+            limit: board.gauge("upstream_limit", "Concurrency limit of the upstream.")?,
+            level: board.gauge("upstream_level", "Admission level of the upstream.")?,
+            members: board.gauge("members", "Members that are there.")?,
+            log_down: board.gauge("log_down", "1 when the last read of the log failed.")?,
+            keys: board.gauge("keys", "Keys that this node holds.")?,
+            links: board.gauge("links", "Connections to other nodes.")?,
+            board,
         })
     }
 
-    /// The registry.
-    pub fn registry(&self) -> &Registry {
-        &self.registry
+    /// Everything as text.
+    pub fn text(&self) -> prometheus::Result<String> {
+        self.board.text()
     }
 
     /// Counts a call by how it ended.
