--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -17,7 +17,7 @@
 use units::NodeId;
 
 use super::events::Event;
-use super::plan;
+use super::intake;
 use super::shared::{Shared, Summary, lock};
 use crate::decide::demand::Demand;
 use crate::decide::members::{self, Record};
@@ -295,7 +295,7 @@
 }
 
 fn measure<P: Platform>(shared: &Shared<P>, now: Instant) {
-    let pulse = lock(&shared.plan).pulse(shared.gate.load(), now);
+    let pulse = lock(&shared.intake).pulse(shared.gate.load(), now);
     let mut table = lock(&shared.table);
     table.pulse(pulse, now);
     table.sweep(now);
@@ -323,13 +323,13 @@
 fn replan<P: Platform>(shared: &Shared<P>) {
     let demand = demand(shared);
     let ranks = shared.ranks();
-    let mut own = lock(&shared.plan);
-    let before = plan::describe(&own.admission, &ranks);
+    let mut own = lock(&shared.intake);
+    let before = intake::describe(&own.admission, &ranks);
     own.admission.plan(&demand, &ranks, shared.now());
-    let shares = plan::describe(&own.admission, &ranks);
+    let shares = intake::describe(&own.admission, &ranks);
     drop(own);
     if before != shares {
-        let loads = plan::loads(&demand);
+        let loads = intake::loads(&demand);
         shared.tell(&Event::PlanChanged { shares, loads, version: shared.version() });
     }
 }
--- a/components/mesh/src/process/plan.rs
+++ b/components/mesh/src/process/intake.rs
@@ -19,7 +19,7 @@
 
 /// Rates of this node and the shares that it goes by.
 #[derive(Debug, Default)]
-pub struct Plan {
+pub struct Intake {
     came: Meters,
     admitted: Meters,
     used: Meters,
@@ -27,7 +27,7 @@
     pub admission: Admission,
 }
 
-impl Plan {
+impl Intake {
     /// Nothing is measured and everything let in.
     pub fn new() -> Self {
         Self::default()
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -12,9 +12,9 @@
 
 use super::events::{Event, Sink};
 use super::gate::Gate;
+use super::intake::Intake;
 use super::metrics::Metrics;
 use super::place::Place;
-use super::plan::Plan;
 use super::upstream::Upstream;
 use crate::connection::pool::Pool;
 use crate::decide::budget::Budget;
@@ -85,7 +85,7 @@
     /// Demand in other regions, and when it was summed up there.
     pub regions: Mutex<BTreeMap<Arc<str>, Summary>>,
     /// What is let in.
-    pub plan: Mutex<Plan>,
+    pub intake: Mutex<Intake>,
     /// Requests that were there when an upstream died.
     pub suspects: Mutex<quarantine::Table>,
     /// News of suspects that other nodes have not been told.
@@ -134,7 +134,7 @@
             budgets: Mutex::default(),
             splits: Mutex::default(),
             regions: Mutex::default(),
-            plan: Mutex::new(Plan::new()),
+            intake: Mutex::new(Intake::new()),
             suspects: Mutex::default(),
             told: Mutex::default(),
             urgent: Notify::new(),
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -103,7 +103,7 @@
 
 /// Whether a root request is let in; calls of trees that have begun always are.
 fn admitted<P: Platform>(shared: &Shared<P>, plan: &Plan, now: Instant) -> bool {
-    plan.call.called || lock(&shared.plan).admits(&plan.route.name, now)
+    plan.call.called || lock(&shared.intake).admits(&plan.route.name, now)
 }
 
 /// Answers a request that no route takes.
@@ -140,9 +140,9 @@
     let asked = call::parse(&parts.headers, &names.deadline).map(Duration::from_millis);
     let caller_left = asked.unwrap_or(route.timeout);
     let called = {
-        let mut plan = lock(&shared.plan);
-        plan.came(&route.name, now);
-        plan.admission.is_called(&route.name)
+        let mut intake = lock(&shared.intake);
+        intake.came(&route.name, now);
+        intake.admission.is_called(&route.name)
     };
     let parent = if called { parent(shared, caller_left, now) } else { None };
     let (parent, root) = match parent {
@@ -256,7 +256,7 @@
         id: id.to_str().unwrap_or_default(),
         route: &route,
         why,
-        share: lock(&shared.plan).admission.share(&route),
+        share: lock(&shared.intake).admission.share(&route),
         after_ms: away.as_millis() as u64,
         tries: tries as u32,
         version: shared.version(),
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -48,7 +48,7 @@
         let now = self.shared.now();
         let held = now.saturating_duration_since(self.since);
         lock(&self.shared.family).end(self.key);
-        lock(&self.shared.plan).used(&self.route, held, now);
+        lock(&self.shared.intake).used(&self.route, held, now);
         if self.whole {
             self.shared.metrics.held.observe(held.as_secs_f64());
         }
--- a/components/mesh/src/request/tries.rs
+++ b/components/mesh/src/request/tries.rs
@@ -67,7 +67,7 @@
     head: &Head,
     body: &Bytes,
 ) -> Ended<P> {
-    let calls = lock(&shared.plan).admission.calls(&plan.call.service);
+    let calls = lock(&shared.intake).admission.calls(&plan.call.service);
     lock(&shared.budgets).entry(plan.call.service.clone()).or_default().first(calls);
     let refusal = Refusal::new(Why::NoUpstream);
     let mut tries = Tries { shared, plan, head, tried: Vec::new(), sent: 0, fault: None, refusal };
