--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -100,14 +100,13 @@
         }
         let now = shared.now();
         woke(&shared, now.saturating_duration_since(last));
-        last = now;
         round += 1;
         measure(&shared, now);
         for target in targets(&shared, round, now) {
             one(&shared, &mut cursors, &target).await;
         }
-        last = last.max(shared.now().checked_sub(EVERY).unwrap_or(last));
         replan(&shared);
+        last = shared.now();
     }
 }
 
@@ -115,19 +114,17 @@
 pub fn answer<P: Platform>(shared: &Arc<Shared<P>>, body: &[u8]) -> Option<Vec<u8>> {
     let message: Message = serde_json::from_slice(body).ok()?;
     let (reader, region, seen) = (message.from.clone(), message.region.clone(), message.seen);
-    let lacks = message.version;
+    let theirs = message.version;
     let cursor = {
         let table = lock(&shared.table);
         let life = table.own().map_or(0, |own| own.record.life);
         let sent = if seen.0 == life { seen.1 } else { 0 };
-        Cursor { sent, version: lacks, seen: message.revision, life: message.life }
+        Cursor { sent, version: theirs, seen: message.revision, life: message.life }
     };
-    let before = shared.version();
     absorb(shared, message);
     shared.oriented.store(true, Ordering::Relaxed);
-    if lacks < before {
-        // The asker gets the configuration with this answer.
-    } else if lacks > shared.version() {
+    if theirs > shared.version() {
+        // The asker has what this node lacks: an exchange with somebody brings it.
         shared.urgent.notify_one();
     }
     serde_json::to_vec(&compose(shared, &reader, &region, cursor)).ok()
@@ -139,7 +136,7 @@
         *cursor = Cursor { life: target.life, ..Cursor::default() };
     }
     let message = compose(shared, &target.node, &target.region, *cursor);
-    let revision = message.revision;
+    let (revision, offered) = (message.revision, message.configuration.is_some());
     let Ok(body) = serde_json::to_vec(&message) else { return };
     let sent = tokio::time::timeout(PATIENCE, send(shared, target, body)).await;
     let now = shared.now();
@@ -157,7 +154,8 @@
     let known = answer.version;
     *cursor = Cursor { life: answer.life, seen: answer.revision, sent: revision, version: known };
     absorb(shared, answer);
-    if known < shared.version() {
+    // One that was offered the configuration and still has an older one has refused it.
+    if known < shared.version() && !offered {
         shared.urgent.notify_one();
     }
 }
