--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -123,11 +123,11 @@
         }
         Side::Nodes if request.uri().path() == exchange::PATH => {
             let Ok(body) = body::read_request(request.into_body(), BODY_LARGEST).await else {
-                return plain(StatusCode::BAD_REQUEST);
+                return Payload::empty(StatusCode::BAD_REQUEST);
             };
             match exchange::answer(&shared, &body) {
                 Some(answer) => Response::new(Payload::whole(answer)),
-                None => plain(StatusCode::BAD_REQUEST),
+                None => Payload::empty(StatusCode::BAD_REQUEST),
             }
         }
         Side::Nodes => guarded(&shared, request).await,
@@ -145,10 +145,10 @@
     let id = parts.headers.get(&shared.platform.headers().id).cloned();
     let path = parts.uri.path_and_query().cloned();
     let (Some(header), Some(id), Some(path)) = (header, id, path) else {
-        return plain(StatusCode::BAD_REQUEST);
+        return Payload::empty(StatusCode::BAD_REQUEST);
     };
     let Ok(body) = body::read_request(incoming, BODY_LARGEST).await else {
-        return plain(StatusCode::BAD_REQUEST);
+        return Payload::empty(StatusCode::BAD_REQUEST);
     };
     parts.headers.remove(&call::CALL);
     parts.headers.remove(header::CONTENT_LENGTH);
@@ -164,9 +164,11 @@
             (outcome::Header::Answer(unrun), Response::from_parts(*head, body))
         }
         Outcome::Refused(refusal) => {
-            (outcome::Header::Refused(refusal), plain(StatusCode::SERVICE_UNAVAILABLE))
+            (outcome::Header::Refused(refusal), Payload::empty(StatusCode::SERVICE_UNAVAILABLE))
+        }
+        Outcome::Failed(fault) => {
+            (outcome::Header::Failed(fault), Payload::empty(StatusCode::BAD_GATEWAY))
         }
-        Outcome::Failed(fault) => (outcome::Header::Failed(fault), plain(StatusCode::BAD_GATEWAY)),
     };
     call::set(response.headers_mut(), call::OUTCOME, header);
     call::set(response.headers_mut(), call::LOAD, Report(shared.gate.load()));
@@ -178,12 +180,6 @@
     response
 }
 
-fn plain<P: Platform>(status: StatusCode) -> Response<Payload<P>> {
-    let mut response = Response::new(Payload::whole(""));
-    *response.status_mut() = status;
-    response
-}
-
 /// Serves a small interface, one answer from memory for each request, until told to stop.
 pub async fn small<F, Fut>(listener: TcpListener, mut stop: watch::Receiver<bool>, answer: F)
 where
--- a/components/mesh/src/request/body.rs
+++ b/components/mesh/src/request/body.rs
@@ -4,6 +4,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
+use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -48,6 +49,13 @@
         Self::Whole((!bytes.is_empty()).then_some(bytes))
     }
 
+    /// An answer with a status and no body.
+    pub fn empty(status: StatusCode) -> Response<Self> {
+        let mut response = Response::new(Self::whole(""));
+        *response.status_mut() = status;
+        response
+    }
+
     /// Reads an answer's body; the parts of `hold` are given back once it has been read whole.
     pub async fn read(
         mut rest: Incoming,
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -75,11 +75,11 @@
     let head_only = hyper::body::Body::is_end_stream(&incoming);
     let body = match body::read_request(incoming, most).await {
         Ok(body) => body,
-        Err(Unread::TooLarge) => return plain(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(Unread::Broken) => return plain(StatusCode::BAD_REQUEST),
+        Err(Unread::TooLarge) => return Payload::empty(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(Unread::Broken) => return Payload::empty(StatusCode::BAD_REQUEST),
     };
     let Some(id) = parts.headers.get(&shared.platform.headers().id).cloned() else {
-        return plain(StatusCode::BAD_REQUEST);
+        return Payload::empty(StatusCode::BAD_REQUEST);
     };
     let Some(active) = shared.active() else {
         return refused(&shared, &id, "", &Refusal::new(Why::Unconfigured), SOON, 0);
@@ -89,7 +89,7 @@
     };
     let _out = Out { shared: &shared, parent: plan.parent };
     let head = head(&shared, parts, id, head_only);
-    let Some(head) = head else { return plain(StatusCode::BAD_REQUEST) };
+    let Some(head) = head else { return Payload::empty(StatusCode::BAD_REQUEST) };
     let response = if admitted(&shared, &plan, started) {
         finish(&shared, &plan, &head, tries::run(&shared, &plan, &head, &body).await)
     } else {
@@ -120,7 +120,7 @@
         version: active.version,
     });
     shared.metrics.calls.with_label_values(&["unrouted"]).inc();
-    plain(StatusCode::NOT_FOUND)
+    Payload::empty(StatusCode::NOT_FOUND)
 }
 
 fn host(parts: &request::Parts) -> &str {
@@ -261,7 +261,7 @@
         tries: tries as u32,
         version: shared.version(),
     });
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    let mut response = Payload::empty(StatusCode::SERVICE_UNAVAILABLE);
     let seconds = format!("{:.3}", away.as_secs_f64());
     call::set(response.headers_mut(), header::RETRY_AFTER, seconds);
     response
@@ -285,11 +285,5 @@
         status: status.as_u16(),
         version: shared.version(),
     });
-    plain(status)
-}
-
-fn plain<P: Platform>(status: StatusCode) -> Response<Payload<P>> {
-    let mut response = Response::new(Payload::whole(""));
-    *response.status_mut() = status;
-    response
+    Payload::empty(status)
 }
