Ask an untried node before one that was tried, however badly it did lately

The retry counted the node that had just refused the request as no worse than an ejected one (`shunned |= tried`), and picked by two choices among both, so two retries could both go back to the one that refuses: one time in sixteen where both choices fall on it twice. Ruled out: the node's start (the cluster waits until all know all) and quarantine (the upstream does not die).

Before: the test of the choice fails with the old rule for the choices (0, 0). After: it passes; `tried` is a field of its own, and a tried candidate is picked only when there is no other that may be used.

--- a/components/bench/src/slopes.rs
+++ b/components/bench/src/slopes.rs
@@ -94,6 +94,7 @@
         score: index as f64,
         full: false,
         shunned: false,
+        tried: false,
     };
     let candidates: Vec<Candidate> = (0..16).map(candidate).collect();
     let mut step = 0;
--- a/components/node/src/process/members.rs
+++ b/components/node/src/process/members.rs
@@ -50,6 +50,7 @@
             score: peer.score(now),
             full: peer.is_full(now),
             shunned: self.suspect || peer.is_ejected(now),
+            tried: false,
         }
     }
 }
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -197,7 +197,7 @@
             .map(|target| {
                 let mut candidate =
                     if target.local { self.local(target) } else { target.candidate(now) };
-                candidate.shunned |= tried.iter().any(|other| other.node == target.node);
+                candidate.tried = tried.iter().any(|other| other.node == target.node);
                 candidate
             })
             .collect();
@@ -211,7 +211,7 @@
         let load = self.gate.load(self.clock.now());
         let score = f64::from(load.running + load.waiting + 1) / f64::from(load.limit.max(1));
         let full = load.waiting > 0 && load.running >= load.limit;
-        Candidate { tier: target.tier, score, full, shunned: false }
+        Candidate { tier: target.tier, score, full, shunned: false, tried: false }
     }
 
     /// Accounts for bytes that crossed to another region.
--- a/components/routing/tests/choose.rs
+++ b/components/routing/tests/choose.rs
@@ -15,7 +15,7 @@
 use units::{Clock, ManualClock, NodeId};
 
 fn candidate(tier: Tier, score: f64) -> Candidate {
-    Candidate { tier, score, full: false, shunned: false }
+    Candidate { tier, score, full: false, shunned: false, tried: false }
 }
 
 fn first(_: usize) -> usize {
@@ -50,6 +50,17 @@
     expect_that!(choose(&[], true, first), none());
 }
 
+/// A node that refused this very request is no better than one that failed another some time ago.
+#[gtest]
+fn one_that_was_tried_comes_after_one_that_failed_lately() {
+    let tried = Candidate { tried: true, ..candidate(Tier::Domain, 0.0) };
+    let failed = Candidate { shunned: true, ..candidate(Tier::Domain, 9.0) };
+    for chance in 0..2 {
+        expect_that!(choose(&[tried, failed], true, |count| chance % count), some(eq(1)));
+    }
+    expect_that!(choose(&[tried], true, first), some(eq(0)));
+}
+
 #[gtest]
 fn the_less_loaded_of_two_is_taken() {
     let all = [candidate(Tier::Domain, 2.0), candidate(Tier::Domain, 1.0)];
@@ -123,7 +134,7 @@
         let tiers = [Tier::Domain, Tier::Region, Tier::Remote];
         let all: Vec<Candidate> = flags
             .iter()
-            .map(|(tier, full, shunned)| Candidate { tier: tiers[usize::from(*tier)], score: 1.0, full: *full, shunned: *shunned })
+            .map(|(tier, full, shunned)| Candidate { tier: tiers[usize::from(*tier)], score: 1.0, full: *full, shunned: *shunned, tried: false })
             .collect();
         prop_assert_eq!(choose(&all, true, |count| count - 1).is_some(), !all.is_empty());
     }
