--- a/components/mesh/src/process/place.rs
+++ b/components/mesh/src/process/place.rs
@@ -11,6 +11,8 @@
     pub calls: SocketAddr,
     /// For other nodes.
     pub nodes: SocketAddr,
+    /// Where other nodes reach that, which differs behind a translated address.
+    pub advertised: SocketAddr,
     /// For the platform, which asks whether the node takes work.
     pub ready: SocketAddr,
     /// For announcements of the upstream.
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -115,7 +115,7 @@
             serial: 1,
             zone: place.zone.clone(),
             region: place.region.clone(),
-            address: place.listen.nodes,
+            address: place.listen.advertised,
             service: place.service.clone(),
             standing: Standing::Unknown,
             slots: 0,
