Explain a failed request from its id to its cause

Cause: docs/OPERATIONS.md tells the steps from an id to the cause, and nobody had walked them on lines of a run. The first test that did found that 'failed' wrote two fields named 'at', the time and the node: readers of JSON keep one of them.

'almondknot explain ID' (components/explain) reads the logs of several nodes, and puts the lines of the request and what the nodes believed at that time together.

--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -85,6 +85,8 @@
         route: &'a str,
         why: &'a str,
         share: f64,
+        /// Age of the plan that the share is from.
+        plan_ms: u64,
         after_ms: u64,
         tries: u32,
         version: u64,
@@ -105,9 +107,12 @@
     Failed {
         id: &'a str,
         route: &'a str,
-        at: &'a str,
+        /// The node that was asked last.
+        asked: &'a str,
         why: &'a str,
         status: u16,
+        /// Time since the request came.
+        taken_ms: u64,
         version: u64,
     },
     Turned {
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -323,7 +323,7 @@
     let ranks = shared.ranks();
     let mut own = lock(&shared.intake);
     let before = intake::describe(&own.admission, &ranks);
-    own.admission.plan(&demand, &ranks, shared.now());
+    own.plan(&demand, &ranks, shared.now());
     let shares = intake::describe(&own.admission, &ranks);
     drop(own);
     if before != shares {
--- a/components/mesh/src/process/intake.rs
+++ b/components/mesh/src/process/intake.rs
@@ -23,6 +23,8 @@
     came: Meters,
     admitted: Meters,
     used: Meters,
+    /// When the shares were worked out.
+    planned: Option<Instant>,
     /// The shares.
     pub admission: Admission,
 }
@@ -47,6 +49,17 @@
         admitted
     }
 
+    /// Works the shares out anew.
+    pub fn plan(&mut self, demand: &Demand, ranks: &BTreeMap<Arc<str>, u8>, now: Instant) {
+        self.admission.plan(demand, ranks, now);
+        self.planned = Some(now);
+    }
+
+    /// Age of the shares.
+    pub fn plan_age(&self, now: Instant) -> Duration {
+        self.planned.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// A slot of the upstream was held for a request of that root route.
     pub fn used(&mut self, route: &Arc<str>, held: Duration, now: Instant) {
         add(&mut self.used, route, held.as_secs_f64(), now);
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -33,6 +33,8 @@
     pub route: Arc<Route>,
     /// What it carries.
     pub call: Call,
+    /// When it came.
+    started: Instant,
     /// When the caller itself leaves, for the time that it is asked to stay away.
     caller_left: Duration,
     /// The request of the upstream that it is made for.
@@ -162,7 +164,7 @@
         idempotent: route.idempotent,
         called,
     };
-    Some(Plan { route, call, caller_left, parent })
+    Some(Plan { route, call, started: now, caller_left, parent })
 }
 
 /// The request of the upstream that a call is made for.
@@ -252,11 +254,16 @@
     let why = refusal.why.as_str();
     shared.metrics.calls.with_label_values(&[why]).inc();
     let route: Arc<str> = route.into();
+    let (share, plan) = {
+        let intake = lock(&shared.intake);
+        (intake.admission.share(&route), intake.plan_age(shared.now()))
+    };
     shared.tell(&Event::Refused {
         id: id.to_str().unwrap_or_default(),
         route: &route,
         why,
-        share: lock(&shared.intake).admission.share(&route),
+        share,
+        plan_ms: plan.as_millis() as u64,
         after_ms: away.as_millis() as u64,
         tries: tries as u32,
         version: shared.version(),
@@ -280,9 +287,10 @@
     shared.tell(&Event::Failed {
         id: head.id.to_str().unwrap_or_default(),
         route: &plan.route.name,
-        at: at.map_or("", |node| node),
+        asked: at.map_or("", |node| node),
         why: fault.as_str(),
         status: status.as_u16(),
+        taken_ms: shared.now().saturating_duration_since(plan.started).as_millis() as u64,
         version: shared.version(),
     });
     Payload::empty(status)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -63,6 +63,9 @@
     Drain(NodesArgs),
     /// Take the upstream of a node back into service.
     Undrain(NodesArgs),
+    /// Tell what became of a request and why, from the logs of nodes on a platform with a metadata store.
+    #[command(after_help = "Example:\n  cat logs/* | almondknot explain 9c41d07be2a35f68")]
+    Explain(ExplainArgs),
     /// Put load on a system as an experiment file says.
     #[command(after_help = "Example:\n  almondknot load --experiment examples/dala/overload.json")]
     Load(LoadArgs),
@@ -81,6 +84,15 @@
     pub settings: Option<PathBuf>,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// Id of the request, as its caller sent it.
+    pub id: String,
+    /// Logs of the nodes; standard input where none is given.
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of `node`.
 #[derive(Debug, Args)]
 pub struct NodeArgs {
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -4,6 +4,7 @@
 mod check;
 mod completions;
 mod error;
+mod explain;
 mod get;
 mod load;
 mod mesh;
@@ -31,6 +32,7 @@
         Command::Report(args) => operate::report(&args),
         Command::Drain(args) => operate::drain(&args),
         Command::Undrain(args) => operate::undrain(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Load(args) => load::run(&args),
         Command::Completions { shell } => completions::run(shell),
     }
