Leave a node that answers nothing for another, and count the time that a node adds

A node that stands still kept its share of requests for up to 3 s, until the exchange missed it: reports of load grow old, and requests that are out there count for little below the limit. A slow machine's node adds time that no report of load shows, as the guard measures only what its upstream takes.

A node counts as silent when requests are out and nothing came back for 3 times the time it holds a slot, 250 ms at least (6 times for a single request). Others are preferred; what may be repeated leaves it for another node, if the share of retries pays for it. The time from sending to the answer less the guard's own time is learned for each node and counts as cost beyond what the path is known to cost. Ruled out: a shorter wait for the exchange (it sees a node every 0.5 to 1.1 s even when all is well, and the delegate's own silence makes everybody look silent).

Callers refused for want of an upstream were told to come back after 0.05 s; now after half the time between two beats.

--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -21,6 +21,19 @@
 const SPOILT_WEIGHT: f64 = 0.1;
 const SPOILT_FADE: Duration = Duration::from_secs(3);
 
+/// Time without any answer, while requests are out, after which a node counts as silent: at least, and as a multiple
+/// of the time that it holds a slot. Long against the spread of work, short against the time of a tree.
+const SILENT_LEAST: Duration = Duration::from_millis(250);
+const SILENT_TIMES: f64 = 3.0;
+/// Requests that have to be out, as one alone may just be a long one, and the multiple of the time that does for one.
+const SILENT_OUT: u32 = 2;
+const SILENT_ALONE: u32 = 2;
+/// Cost of a silent node, in time: more than any path between regions, so that it is used only if the others are full.
+const SILENT_COST: Duration = Duration::from_secs(1);
+/// Weight of one answer in the time that a node and the path to it add, and time in which that fades.
+const ADDED_WEIGHT: f64 = 0.1;
+const ADDED_FADE: Duration = Duration::from_secs(3);
+
 /// How far away a node is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
@@ -44,6 +57,11 @@
     /// Part of its outcomes that were spoilt, at the moment of the last.
     spoilt: f64,
     judged: Instant,
+    /// The last answer, or the first request after a time with none out.
+    progress: Instant,
+    /// Seconds that the node and the path to it add to the time of the guard, at the moment of the last answer.
+    added: f64,
+    measured: Instant,
 }
 
 impl Peer {
@@ -58,11 +76,17 @@
             rests: None,
             spoilt: 0.0,
             judged: now,
+            progress: now,
+            added: 0.0,
+            measured: now,
         }
     }
 
     /// A request was sent.
-    pub fn sent(&mut self) {
+    pub fn sent(&mut self, now: Instant) {
+        if self.inflight == 0 {
+            self.progress = now;
+        }
         self.inflight += 1;
     }
 
@@ -91,9 +115,35 @@
     }
 
     /// It answered.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, now: Instant) {
         self.failures = 0;
         self.rests = None;
+        self.progress = now;
+    }
+
+    /// An answer came after `taken`, of which the guard had it for `held`.
+    pub fn added(&mut self, taken: Duration, held: Duration, now: Instant) {
+        let added = taken.saturating_sub(held).as_secs_f64();
+        self.added = fade(self.added, self.measured, ADDED_FADE, now);
+        self.added += (added - self.added) * ADDED_WEIGHT;
+        self.measured = now;
+    }
+
+    /// Time without an answer after which it counts as silent.
+    pub fn silence(&self) -> Duration {
+        Duration::from_secs_f64(f64::from(self.report.held) / 1e6)
+            .mul_f64(SILENT_TIMES)
+            .max(SILENT_LEAST)
+    }
+
+    /// Whether it has answered nothing for long, though requests are out.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.progress);
+        match self.inflight {
+            0 => false,
+            1..SILENT_OUT => passed > self.silence() * SILENT_ALONE,
+            _ => passed > self.silence(),
+        }
     }
 
     /// It could not be reached, or the connection was lost.
@@ -111,8 +161,7 @@
     }
 
     fn faded(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.judged).as_secs_f64();
-        self.spoilt * (-age / SPOILT_FADE.as_secs_f64()).exp()
+        fade(self.spoilt, self.judged, SPOILT_FADE, now)
     }
 
     fn wait(&self, now: Instant) -> Duration {
@@ -136,6 +185,15 @@
         };
         let avoid = avoid || self.rests(now);
         let spoilt = SPOILT_COST.mul_f64(self.faded(now));
-        self.wait(now) + place + spoilt + if avoid { AVOIDED } else { Duration::ZERO }
+        let added = fade(self.added, self.measured, ADDED_FADE, now);
+        let added = Duration::from_secs_f64(added).saturating_sub(place);
+        let silent = if self.is_silent(now) { SILENT_COST } else { Duration::ZERO };
+        let avoided = if avoid { AVOIDED } else { Duration::ZERO };
+        self.wait(now) + place + spoilt + added + silent + avoided
     }
 }
+
+fn fade(value: f64, since: Instant, span: Duration, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(since).as_secs_f64();
+    value * (-age / span.as_secs_f64()).exp()
+}
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -149,7 +149,7 @@
             return;
         }
     };
-    shared.peer(&target.node, |peer| peer.answered());
+    shared.peer(&target.node, |peer| peer.answered(now));
     shared.oriented.store(true, Ordering::Relaxed);
     let known = answer.version;
     *cursor = Cursor { life: answer.life, seen: answer.revision, sent: revision, version: known };
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -154,11 +154,15 @@
     parts.headers.remove(header::CONTENT_LENGTH);
     let head = Head { method: parts.method, path, headers: parts.headers, id };
     let outcome = guard::serve(shared, &header.call(now), &head, &body).await;
-    mark(shared, outcome)
+    mark(shared, outcome, now)
 }
 
 /// Puts an outcome into an answer to another node.
-fn mark<P: Platform>(shared: &Shared<P>, outcome: Outcome<P>) -> Response<Payload<P>> {
+fn mark<P: Platform>(
+    shared: &Shared<P>,
+    outcome: Outcome<P>,
+    arrived: Instant,
+) -> Response<Payload<P>> {
     let (header, mut response) = match outcome {
         Outcome::Answer { head, body, unrun } => {
             (outcome::Header::Answer(unrun), Response::from_parts(*head, body))
@@ -171,7 +175,9 @@
         }
     };
     call::set(response.headers_mut(), call::OUTCOME, header);
-    call::set(response.headers_mut(), call::LOAD, Report(shared.gate.load()));
+    let taken = shared.now().saturating_duration_since(arrived);
+    let report = Report { load: shared.gate.load(), taken };
+    call::set(response.headers_mut(), call::LOAD, report);
     let leaving =
         matches!(header, outcome::Header::Refused(refusal) if refusal.why == Why::Leaving);
     if leaving || shared.parting.load(Ordering::Relaxed) {
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -265,10 +265,10 @@
     }
 
     /// Does something with what is known of a node as a place to send requests to.
-    pub fn peer(&self, node: &Arc<str>, change: impl FnOnce(&mut Peer)) {
+    pub fn peer<T>(&self, node: &Arc<str>, change: impl FnOnce(&mut Peer) -> T) -> T {
         let now = self.now();
         let mut peers = lock(&self.peers);
-        change(peers.entry(node.clone()).or_insert_with(|| Peer::new(now)));
+        change(peers.entry(node.clone()).or_insert_with(|| Peer::new(now)))
     }
 
     /// Ranks of all routes.
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -18,6 +18,8 @@
 use crate::process::shared::{Shared, lock};
 use crate::version::{Configuration, Route};
 
+/// Part of the time between two announcements after which half of the upstreams that are awaited have come back.
+const RETURN: f64 = 0.5;
 /// Time that a caller is asked to stay away at least.
 const LEAST_AWAY: Duration = Duration::from_millis(50);
 /// Time that a caller is asked to stay away when the reason passes soon.
@@ -216,6 +218,14 @@
     wait.mul_f64(rand::random_range(0.7..1.0))
 }
 
+/// Time after which a refused request may find room: what the guard expected, or the return of an upstream that left.
+pub fn expected(refusal: &Refusal, beat: Duration) -> Duration {
+    match refusal.why {
+        Why::NoUpstream | Why::Leaving | Why::Unreachable => refusal.wait.max(beat.mul_f64(RETURN)),
+        Why::Unconfigured | Why::Full | Why::Overload | Why::Deadline => refusal.wait,
+    }
+}
+
 /// The caller's answer to what became of its request.
 fn finish<P: Platform>(
     shared: &Shared<P>,
@@ -226,7 +236,7 @@
     match ended {
         Ended::Answer { head, body } => answered(shared, *head, body),
         Ended::Refused { refusal, tries } => {
-            let away = away(refusal.wait, plan.caller_left);
+            let away = away(expected(&refusal, shared.place.beat), plan.caller_left);
             refused(shared, &head.id, &plan.route.name, &refusal, away, tries)
         }
         Ended::Failed { fault, at } => failed(shared, plan, head, at.as_ref(), fault),
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -31,7 +31,8 @@
 impl<P: Platform> Sent<P> {
     /// Counts a request as sent.
     pub fn new(shared: Arc<Shared<P>>, node: Arc<str>) -> Self {
-        shared.peer(&node, |peer| peer.sent());
+        let now = shared.now();
+        shared.peer(&node, |peer| peer.sent(now));
         Self { shared, node }
     }
 }
@@ -42,13 +43,14 @@
     }
 }
 
-/// Sends a call to another node.
+/// Sends a call to another node; `leaves` is asked whether to leave it while the node is silent.
 pub async fn send<P: Platform>(
     shared: &Arc<Shared<P>>,
     target: &Target,
     call: &Call,
     head: &Head,
     body: &Bytes,
+    leaves: impl Fn() -> bool,
 ) -> Outcome<P> {
     let started = shared.now();
     let node = &target.record.node;
@@ -57,17 +59,18 @@
     let request = request(call.header(started), head, body);
     let links = &shared.links;
     let answer = links.send(target.record.address, request, LINK_FRESH, started);
-    let (response, lane) = match tokio::time::timeout(patience, answer).await {
+    let (response, lane) = match wait(shared, node, patience, answer, leaves).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(err)) => return lost(shared, node, &err),
-        Err(_) => return Outcome::Failed(Fault::Late),
+        Err(fault) => return Outcome::Failed(fault),
     };
     let (head, incoming) = response.into_parts();
     let answered = shared.now();
     shared.peer(node, |peer| {
-        peer.answered();
-        if let Some(Report(load)) = call::parse(&head.headers, &call::LOAD) {
+        peer.answered(answered);
+        if let Some(Report { load, taken }) = call::parse(&head.headers, &call::LOAD) {
             peer.reported(load, answered);
+            peer.added(answered.saturating_duration_since(started), taken, answered);
         }
     });
     let Some(outcome) = call::parse(&head.headers, &call::OUTCOME) else {
@@ -91,6 +94,32 @@
     }
 }
 
+/// Waits for an answer, until it is too late or the request leaves a node that is silent.
+async fn wait<P: Platform, T>(
+    shared: &Shared<P>,
+    node: &Arc<str>,
+    patience: Duration,
+    answer: impl Future<Output = T>,
+    leaves: impl Fn() -> bool,
+) -> Result<T, Fault> {
+    let mut answer = std::pin::pin!(answer);
+    let mut left = patience;
+    loop {
+        let look = shared.peer(node, |peer| peer.silence()).min(left);
+        if let Ok(answer) = tokio::time::timeout(look, &mut answer).await {
+            return Ok(answer);
+        }
+        left -= look;
+        if left.is_zero() {
+            return Err(Fault::Late);
+        }
+        let now = shared.now();
+        if shared.peer(node, |peer| peer.is_silent(now)) && leaves() {
+            return Err(Fault::Silent);
+        }
+    }
+}
+
 async fn read<P: Platform>(
     shared: &Arc<Shared<P>>,
     node: &Arc<str>,
@@ -142,12 +171,17 @@
 }
 
 /// A load report as a header.
-pub struct Report(pub Load);
+pub struct Report {
+    /// Load of the upstream.
+    pub load: Load,
+    /// Time from the request's arrival at the node to its answer.
+    pub taken: Duration,
+}
 
 impl std::fmt::Display for Report {
     fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Load { running, waiting, limit, held } = self.0;
-        write!(out, "{running}/{waiting}/{limit}/{held}")
+        let Load { running, waiting, limit, held } = self.load;
+        write!(out, "{running}/{waiting}/{limit}/{held}/{}", self.taken.as_micros())
     }
 }
 
@@ -156,6 +190,8 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut parts = text.split('/');
         let mut number = || parts.next().unwrap_or_default().parse();
-        Ok(Self(Load { running: number()?, waiting: number()?, limit: number()?, held: number()? }))
+        let load =
+            Load { running: number()?, waiting: number()?, limit: number()?, held: number()? };
+        Ok(Self { load, taken: Duration::from_micros(number()?.into()) })
     }
 }
--- a/components/mesh/src/request/tries.rs
+++ b/components/mesh/src/request/tries.rs
@@ -72,7 +72,8 @@
     let refusal = Refusal::new(Why::NoUpstream);
     let mut tries = Tries { shared, plan, head, tried: Vec::new(), sent: 0, fault: None, refusal };
     while let Some((target, call)) = tries.next() {
-        let outcome = send(shared, &target, call, head, body).await;
+        let leaves = || tries.leaves(&target);
+        let outcome = send(shared, &target, call, head, body, leaves).await;
         if let Some((head, body)) = tries.take(&target, outcome) {
             return Ended::Answer { head, body };
         }
@@ -125,7 +126,7 @@
                 self.sent += 1;
                 let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
                 let why = if misdirected { "misdirected" } else { "shed" };
-                if !self.repeat(target, why) {
+                if !self.repeat(target, why, self.sent) {
                     return Some((head, body));
                 }
             }
@@ -138,7 +139,7 @@
             Outcome::Failed(fault) => {
                 self.shared.peer(node, |peer| {
                     peer.judge(fault == Fault::Late, now);
-                    if fault == Fault::Died {
+                    if matches!(fault, Fault::Died | Fault::Silent) {
                         peer.failed(now);
                     }
                 });
@@ -151,15 +152,26 @@
 
     /// Whether a request that may have run is sent again.
     fn may_repeat(&self, target: &Target, fault: Fault) -> bool {
-        let pointless = matches!(fault, Fault::Late | Fault::Quarantined);
-        self.plan.call.idempotent && !pointless && self.repeat(target, fault.as_str())
+        match fault {
+            Fault::Late | Fault::Quarantined => false,
+            // It was left for another one, which is paid for.
+            Fault::Silent => true,
+            _ => self.plan.call.idempotent && self.repeat(target, fault.as_str(), self.sent),
+        }
+    }
+
+    /// Whether a request that is out leaves a silent node for another one, which is paid for then.
+    fn leaves(&self, target: &Target) -> bool {
+        self.plan.call.idempotent
+            && self.shared.choose(&self.plan.call.service, &self.tried).is_some()
+            && self.repeat(target, Fault::Silent.as_str(), self.sent + 1)
     }
 
-    /// Pays for another upstream.
-    fn repeat(&self, target: &Target, why: &str) -> bool {
+    /// Pays for another upstream, if that many may be sent the request.
+    fn repeat(&self, target: &Target, why: &str, sent: u32) -> bool {
         let Plan { route, call, .. } = self.plan;
         let left = call.left(self.shared.now());
-        if self.sent >= u32::from(route.attempts) || left.is_zero() {
+        if sent >= u32::from(route.attempts) || left.is_zero() {
             return false;
         }
         if !lock(&self.shared.budgets)
@@ -200,9 +212,10 @@
     call: Call,
     head: &Head,
     body: &Bytes,
+    leaves: impl Fn() -> bool,
 ) -> Outcome<P> {
     if !target.local {
-        return peer::send(shared, target, &call, head, body).await;
+        return peer::send(shared, target, &call, head, body, leaves).await;
     }
     let sent = peer::Sent::new(shared.clone(), target.record.node.clone());
     let outcome = guard::serve(shared, &call, head, body).await;
--- a/components/mesh/tests/small.rs
+++ b/components/mesh/tests/small.rs
@@ -10,6 +10,7 @@
 use mesh::decide::queue::Load;
 use mesh::decide::split::Split;
 use mesh::request::call::{self, Call, Root};
+use mesh::request::entry;
 use mesh::request::outcome::{Fault, Header, Refusal, Why};
 
 const MS: Duration = Duration::from_millis(1);
@@ -78,6 +79,59 @@
     expect_that!(lossy.cost(Tier::Zone, false, later), lt(10 * MS), "it gets another chance");
 }
 
+/// The load that this answers: machines stand still for seconds, and what is sent to them waits for its deadline.
+#[gtest]
+fn a_node_that_answers_nothing_is_avoided_until_it_answers() {
+    let now = Instant::now();
+    let (mut still, mut sound) = (Peer::new(now), Peer::new(now));
+    for peer in [&mut still, &mut sound] {
+        peer.reported(busy(1, 0), now);
+        peer.sent(now);
+        peer.sent(now + 10 * MS);
+    }
+    sound.answered(now + 240 * MS);
+    let later = now + 260 * MS;
+    expect_that!(still.is_silent(now + 240 * MS), eq(false));
+    expect_that!(still.is_silent(later), eq(true));
+    expect_that!(sound.is_silent(later), eq(false));
+    expect_that!(still.cost(Tier::Zone, false, later), gt(sound.cost(Tier::Far, false, later)));
+    still.answered(later);
+    expect_that!(still.is_silent(later + 100 * MS), eq(false));
+}
+
+#[gtest]
+fn one_long_request_alone_is_not_silence_for_long() {
+    let now = Instant::now();
+    let mut peer = Peer::new(now);
+    peer.reported(Load { held: 300_000, ..busy(1, 0) }, now);
+    peer.sent(now);
+    expect_that!(peer.is_silent(now + 1_700 * MS), eq(false));
+    expect_that!(peer.is_silent(now + 1_900 * MS), eq(true));
+    peer.ended();
+    expect_that!(peer.is_silent(now + 1_900 * MS), eq(false), "nothing is out");
+    peer.sent(now + 5_000 * MS);
+    expect_that!(
+        peer.is_silent(now + 5_100 * MS),
+        eq(false),
+        "it counts from the first that is out"
+    );
+}
+
+/// The load that this answers: a machine runs eight times slower, and its node adds more than a path between regions.
+#[gtest]
+fn a_node_that_adds_time_is_avoided_and_gets_another_chance() {
+    let now = Instant::now();
+    let (mut slow, mut sound) = (Peer::new(now), Peer::new(now));
+    for _ in 0..30 {
+        slow.added(180 * MS, 50 * MS, now);
+        sound.added(54 * MS, 50 * MS, now);
+    }
+    expect_that!(slow.cost(Tier::Zone, false, now), gt(sound.cost(Tier::Region, false, now)));
+    expect_that!(sound.cost(Tier::Region, false, now), lt(8 * MS), "the path itself counts once");
+    let later = now + Duration::from_secs(12);
+    expect_that!(slow.cost(Tier::Zone, false, later), lt(sound.cost(Tier::Region, false, later)));
+}
+
 fn busy(running: u32, waiting: u32) -> Load {
     Load { running, waiting, limit: 10, held: 50_000 }
 }
@@ -103,7 +157,7 @@
     expect_that!(peer.rests(now + 400 * MS), eq(false));
     peer.failed(now);
     expect_that!(peer.rests(now + 400 * MS), eq(true));
-    peer.answered();
+    peer.answered(now);
     expect_that!(peer.rests(now), eq(false));
 }
 
@@ -131,6 +185,17 @@
     }
 }
 
+/// The load that this answers: nodes are stopped one after the other, and callers come again before an upstream is back.
+#[gtest]
+fn a_caller_comes_back_when_an_upstream_may_be_there_again() {
+    let beat = 1_500 * MS;
+    for why in [Why::NoUpstream, Why::Leaving, Why::Unreachable] {
+        expect_that!(entry::expected(&Refusal::new(why), beat), eq(750 * MS), "{why:?}");
+    }
+    let full = Refusal { why: Why::Full, wait: 40 * MS };
+    expect_that!(entry::expected(&full, beat), eq(40 * MS));
+}
+
 #[gtest]
 fn outcomes_travel_whole() {
     let refusal = Refusal { why: Why::Leaving, wait: 250 * MS };
