Look for nodes by their service, and choose in one pass

Cause: each request walked all known nodes twice, once for the choice and once to know whether another node is left, and copied a record for every better one.

The table keeps the names of each service's nodes; the choice says whether there is another one, and copies one record.

--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -1,6 +1,6 @@
 //! Who is there: records of nodes, merged from the store and from other nodes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -133,6 +133,8 @@
 pub struct Table {
     own: Arc<str>,
     entries: BTreeMap<Arc<str>, Entry>,
+    /// Names of the nodes of each service, as requests look for them.
+    services: HashMap<Arc<str>, Vec<Arc<str>>>,
     revision: u64,
 }
 
@@ -155,7 +157,8 @@
         let name = own.node.clone();
         let member = Member { record: own, pulse: Pulse::default() };
         let entry = Entry { member, revision: 1, changed: 1, heard: now, source: None };
-        Self { own: name.clone(), entries: BTreeMap::from([(name, entry)]), revision: 1 }
+        let services = HashMap::from([(entry.member.record.service.clone(), vec![name.clone()])]);
+        Self { own: name.clone(), entries: BTreeMap::from([(name, entry)]), services, revision: 1 }
     }
 
     /// Takes news of a node from another one, or from the store.
@@ -169,6 +172,7 @@
             let entry = Entry { member, revision, changed: revision, heard: now, source };
             self.entries.insert(told.node, entry);
             self.revision = revision;
+            self.index();
             return News::Changed;
         };
         let known = &mut entry.member;
@@ -196,8 +200,12 @@
             known.pulse = pulse;
         }
         let Some(record) = newer else { return News::Pulse };
+        let moved = known.record.service != record.service;
         known.record = record;
         entry.changed = revision;
+        if moved {
+            self.index();
+        }
         News::Changed
     }
 
@@ -278,11 +286,27 @@
 
     /// Every node, and whether it has been silent for long.
     pub fn all(&self, now: Instant) -> impl Iterator<Item = (&Member, bool)> {
-        self.entries.values().map(move |entry| {
-            let own = entry.member.record.node == self.own;
-            let age = now.saturating_duration_since(entry.heard);
-            (&entry.member, !own && age > SILENT)
-        })
+        self.entries.values().map(move |entry| self.heard(entry, now))
+    }
+
+    /// The nodes of a service, and whether they have been silent for long.
+    pub fn of(&self, service: &str, now: Instant) -> impl Iterator<Item = (&Member, bool)> {
+        let names = self.services.get(service).into_iter().flatten();
+        names.filter_map(|name| self.entries.get(name)).map(move |entry| self.heard(entry, now))
+    }
+
+    fn heard<'a>(&self, entry: &'a Entry, now: Instant) -> (&'a Member, bool) {
+        let own = entry.member.record.node == self.own;
+        let age = now.saturating_duration_since(entry.heard);
+        (&entry.member, !own && age > SILENT)
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for (name, entry) in &self.entries {
+            let service = entry.member.record.service.clone();
+            self.services.entry(service).or_default().push(name.clone());
+        }
     }
 
     /// Gives every node a new chance to be heard: this process stood still and knows nothing of the time between.
@@ -295,8 +319,12 @@
     /// Forgets nodes that have been silent for very long.
     pub fn sweep(&mut self, now: Instant) {
         let own = self.own.clone();
+        let before = self.entries.len();
         self.entries.retain(|node, entry| {
             *node == own || now.saturating_duration_since(entry.heard) < GONE
         });
+        if self.entries.len() < before {
+            self.index();
+        }
     }
 }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -37,8 +37,6 @@
 pub struct Target {
     /// Its record.
     pub record: Record,
-    /// How far away it is.
-    pub tier: Tier,
     /// It is this node.
     pub local: bool,
 }
@@ -235,21 +233,18 @@
         }
     }
 
-    /// Picks a node for a call, none of `tried` while there are others.
-    pub fn choose(&self, service: &str, tried: &[Arc<str>]) -> Option<Target> {
+    /// Picks a node for a call, none of `tried`, and says whether there is another one.
+    pub fn choose(&self, service: &str, tried: &[Arc<str>]) -> Option<(Target, bool)> {
         let now = self.now();
         let table = lock(&self.table);
         let peers = lock(&self.peers);
-        let mut best: Option<(Duration, Target)> = None;
-        for (member, silent) in table.all(now) {
+        let mut best: Option<(Duration, &Record)> = None;
+        let mut more = false;
+        for (member, silent) in table.of(service, now) {
             let record = &member.record;
-            if *record.service != *service || record.standing != Standing::Ready {
+            if record.standing != Standing::Ready || tried.contains(&record.node) {
                 continue;
             }
-            if tried.contains(&record.node) {
-                continue;
-            }
-            let local = record.node == self.place.node;
             let tier = self.tier(record);
             let known = peers.get(&record.node);
             let cost = match known {
@@ -257,11 +252,14 @@
                 None => Peer::new(now).cost(tier, silent, now),
             };
             let cost = cost + Duration::from_micros(rand::random_range(0..500));
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                best = Some((cost, Target { record: record.clone(), tier, local }));
+            more = best.is_some();
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, record));
             }
         }
-        best.map(|(_, target)| target)
+        let (_, record) = best?;
+        let local = record.node == self.place.node;
+        Some((Target { record: record.clone(), local }, more))
     }
 
     /// Does something with what is known of a node as a place to send requests to.
--- a/components/mesh/src/request/tries.rs
+++ b/components/mesh/src/request/tries.rs
@@ -99,10 +99,9 @@
         if self.tried.len() >= MOST_TRIES {
             return None;
         }
-        let target = self.shared.choose(&call.service, &self.tried)?;
+        let (target, more) = self.shared.choose(&call.service, &self.tried)?;
         self.tried.push(target.record.node.clone());
-        let last = self.tried.len() == MOST_TRIES
-            || self.shared.choose(&call.service, &self.tried).is_none();
+        let last = !more || self.tried.len() == MOST_TRIES;
         let patience = patience(call, last, now);
         Some((target, Call { patience, ..call.clone() }))
     }
--- a/components/mesh/tests/members.rs
+++ b/components/mesh/tests/members.rs
@@ -47,6 +47,25 @@
     expect_that!(table.get("b").map(|member| member.record.serial), some(eq(3)));
 }
 
+/// Requests look for the nodes of one service; those of all others must not be in their way.
+#[gtest]
+fn nodes_are_found_by_their_service() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    table.merge(told(Record { service: "t".into(), ..record("b", 5, 1) }), None, now);
+    let names = |table: &Table, service: &str, at: Instant| -> Vec<String> {
+        table.of(service, at).map(|(member, _)| member.record.node.to_string()).collect()
+    };
+    expect_that!(names(&table, "s", now), elements_are![eq("own")]);
+    expect_that!(names(&table, "t", now), elements_are![eq("b")]);
+    table.merge(told(record("b", 6, 1)), None, now);
+    expect_that!(names(&table, "s", now), elements_are![eq("b"), eq("own")]);
+    expect_that!(names(&table, "t", now), is_empty());
+    let later = now + Duration::from_secs(60);
+    table.sweep(later);
+    expect_that!(names(&table, "s", later), elements_are![eq("own")]);
+}
+
 #[gtest]
 fn a_later_life_starts_its_counts_anew() {
     let now = Instant::now();
