Ask a second node while the first is silent, keep the first, and use a leaving upstream where there is no other

For two seconds 439 requests were refused with 'no-upstream': of the four upstreams of a service two were leaving and two stood beside nodes that were being restarted ('almondknot explain' on its lines). A leaving upstream may get new work for 2.5 s after the acknowledgement; ours got none after 0.7 s, and entries asked none that leaves.

Now entries ask a leaving one when nobody else takes work, and the guard decides, up to 0.7 s before the bound of the settings. The guard measures by the steady clock and the time of day, whichever says more: the steady clock misses the time in which a machine is suspended.

So the first request is kept now until another node answers, and its own answer counts if it comes first.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -22,10 +22,14 @@
             "unconfigured" => told.causes.push(format!("{} had no configuration yet", line.node)),
             "leaving" | "no-upstream" | "unreachable" => {
                 leaving(lines, line, told);
-                told.causes.push(format!(
-                    "{} knew no upstream that takes work on {route} (version {version}, {tries} nodes asked)",
-                    line.node
-                ));
+                told.causes.push(if why == "leaving" {
+                    format!("all that {} asked on {route} were leaving ({tries})", line.node)
+                } else {
+                    format!(
+                        "{} knew no upstream that takes work on {route} (version {version})",
+                        line.node
+                    )
+                });
             }
             _ => told.causes.push(format!(
                 "{tries} nodes were asked on {route}, and none had room in time ({why})"
@@ -77,12 +81,12 @@
     // The newest word of each node counts.
     for other in lines.iter().filter(before).rev() {
         match &other.event {
-            Event::MemberChanged { member, standing, .. } if other.node == line.node => {
-                if !left.contains(&member.as_str()) {
-                    left.push(member);
-                    if standing != "ready" {
-                        told.beliefs.push(other.clone());
-                    }
+            Event::MemberChanged { member, standing, .. }
+                if other.node == line.node && !left.contains(&member.as_str()) =>
+            {
+                left.push(member);
+                if standing != "ready" {
+                    told.beliefs.push(other.clone());
                 }
             }
             Event::UpstreamChanged { standing, .. } if standing == "leaving" => {
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -55,7 +55,7 @@
         shared.tell(&Event::AnnouncementRefused { why: &why });
         return response(StatusCode::BAD_REQUEST, "another service");
     }
-    let now = shared.now();
+    let now = shared.moment();
     let (change, told) = {
         let mut upstream = lock(&shared.upstream);
         let change = upstream.take(announcement, now);
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -133,7 +133,7 @@
         state: State::Ready,
         cold: Duration::ZERO,
     };
-    let resumed = lock(&shared.upstream).resume(beat.clone(), shared.now());
+    let resumed = lock(&shared.upstream).resume(beat.clone(), shared.moment());
     if resumed {
         control::changed(shared, &beat, Standing::Ready, true);
     }
--- a/components/mesh/src/process/place.rs
+++ b/components/mesh/src/process/place.rs
@@ -38,6 +38,8 @@
     pub listen: Listen,
     /// Time between two announcements of the upstream.
     pub beat: Duration,
+    /// Time after an upstream said that it leaves in which it may still get new work.
+    pub drain: Duration,
     /// Time after SIGTERM in which the process has to be gone.
     pub grace: Duration,
     /// Processors of the machine.
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -15,7 +15,7 @@
 use super::intake::Intake;
 use super::metrics::Metrics;
 use super::place::Place;
-use super::upstream::Upstream;
+use super::upstream::{Moment, Upstream};
 use crate::connection::pool::Pool;
 use crate::decide::budget::Budget;
 use crate::decide::choose::{Peer, Tier};
@@ -32,6 +32,9 @@
 /// Longest time to connect to another node: twice over the longest path between regions and back.
 const PEER_CONNECT: Duration = Duration::from_millis(250);
 
+/// Cost of a node whose upstream leaves, in time: it is asked if no other takes work, and its guard says for how long.
+const LEAVING_COST: Duration = Duration::from_secs(30);
+
 /// A node that requests can be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -123,7 +126,7 @@
             metrics: Metrics::new()?,
             sink,
             gate: Gate::default(),
-            upstream: Mutex::new(Upstream::new(place.beat, now)),
+            upstream: Mutex::new(Upstream::new(place.beat, place.drain, now)),
             family: Mutex::new(Family::new(now)),
             lanes: Arc::new(Pool::new(None, UPSTREAM_CONNECT)),
             links: Arc::new(Pool::new(Some(place.listen.nodes.ip()), PEER_CONNECT)),
@@ -157,6 +160,11 @@
         wall.duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
     }
 
+    /// The moment on both clocks.
+    pub fn moment(&self) -> Moment {
+        Moment { now: self.now(), wall: self.stamp() }
+    }
+
     /// Writes an event to the log.
     pub fn tell(&self, event: &Event<'_>) {
         let clock = self.platform.clock();
@@ -242,7 +250,8 @@
         let mut more = false;
         for (member, silent) in table.of(service, now) {
             let record = &member.record;
-            if record.standing != Standing::Ready || tried.contains(&record.node) {
+            let left = record.standing == Standing::Leaving;
+            if record.standing == Standing::Unknown || tried.contains(&record.node) {
                 continue;
             }
             let tier = self.tier(record);
@@ -251,6 +260,7 @@
                 Some(peer) => peer.cost(tier, silent, now),
                 None => Peer::new(now).cost(tier, silent, now),
             };
+            let cost = cost + if left { LEAVING_COST } else { Duration::ZERO };
             let cost = cost + Duration::from_micros(rand::random_range(0..500));
             more = best.is_some();
             if best.is_none_or(|(least, _)| cost < least) {
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -120,7 +120,7 @@
     if known.is_none() {
         return Err(Refusal::new(Why::NoUpstream));
     }
-    upstream.pin(shared.now()).cloned().ok_or_else(|| Refusal::new(Why::Leaving))
+    upstream.pin(shared.moment()).cloned().ok_or_else(|| Refusal::new(Why::Leaving))
 }
 
 async fn admit<P: Platform>(
--- a/components/mesh/src/request/outcome.rs
+++ b/components/mesh/src/request/outcome.rs
@@ -73,19 +73,16 @@
     Died,
     /// No answer came in time.
     Late,
-    /// The node answered nobody for long, and another was asked instead.
-    Silent,
     /// Upstreams died while they ran the same request earlier.
     Quarantined,
 }
 
 impl Fault {
-    const ALL: [(Self, &'static str); 6] = [
+    const ALL: [(Self, &'static str); 5] = [
         (Self::Lost, "lost"),
         (Self::Foreign, "foreign"),
         (Self::Died, "died"),
         (Self::Late, "late"),
-        (Self::Silent, "silent"),
         (Self::Quarantined, "quarantined"),
     ];
 
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -43,14 +43,13 @@
     }
 }
 
-/// Sends a call to another node; `leaves` is asked whether to leave it while the node is silent.
+/// Sends a call to another node.
 pub async fn send<P: Platform>(
     shared: &Arc<Shared<P>>,
     target: &Target,
     call: &Call,
     head: &Head,
     body: &Bytes,
-    leaves: impl Fn() -> bool,
 ) -> Outcome<P> {
     let started = shared.now();
     let node = &target.record.node;
@@ -59,10 +58,10 @@
     let request = request(call.header(started), head, body);
     let links = &shared.links;
     let answer = links.send(target.record.address, request, LINK_FRESH, started);
-    let (response, lane) = match wait(shared, node, patience, answer, leaves).await {
+    let (response, lane) = match tokio::time::timeout(patience, answer).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(err)) => return lost(shared, node, &err),
-        Err(fault) => return Outcome::Failed(fault),
+        Err(_) => return Outcome::Failed(Fault::Late),
     };
     let (head, incoming) = response.into_parts();
     let answered = shared.now();
@@ -94,32 +93,6 @@
     }
 }
 
-/// Waits for an answer, until it is too late or the request leaves a node that is silent.
-async fn wait<P: Platform, T>(
-    shared: &Shared<P>,
-    node: &Arc<str>,
-    patience: Duration,
-    answer: impl Future<Output = T>,
-    leaves: impl Fn() -> bool,
-) -> Result<T, Fault> {
-    let mut answer = std::pin::pin!(answer);
-    let mut left = patience;
-    loop {
-        let look = shared.peer(node, |peer| peer.silence()).min(left);
-        if let Ok(answer) = tokio::time::timeout(look, &mut answer).await {
-            return Ok(answer);
-        }
-        left -= look;
-        if left.is_zero() {
-            return Err(Fault::Late);
-        }
-        let now = shared.now();
-        if shared.peer(node, |peer| peer.is_silent(now)) && leaves() {
-            return Err(Fault::Silent);
-        }
-    }
-}
-
 async fn read<P: Platform>(
     shared: &Arc<Shared<P>>,
     node: &Arc<str>,
--- a/components/mesh/src/request/tries.rs
+++ b/components/mesh/src/request/tries.rs
@@ -1,5 +1,6 @@
 //! Sending a request to one guard after the other, until there is an answer or a reason to stop.
 
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -72,8 +73,8 @@
     let refusal = Refusal::new(Why::NoUpstream);
     let mut tries = Tries { shared, plan, head, tried: Vec::new(), sent: 0, fault: None, refusal };
     while let Some((target, call)) = tries.next() {
-        let leaves = || tries.leaves(&target);
-        let outcome = send(shared, &target, call, head, body, leaves).await;
+        let (other, outcome) = tries.hedged(&target, call, body).await;
+        let target = other.unwrap_or(target);
         if let Some((head, body)) = tries.take(&target, outcome) {
             return Ended::Answer { head, body };
         }
@@ -138,7 +139,7 @@
             Outcome::Failed(fault) => {
                 self.shared.peer(node, |peer| {
                     peer.judge(fault == Fault::Late, now);
-                    if matches!(fault, Fault::Died | Fault::Silent) {
+                    if fault == Fault::Died {
                         peer.failed(now);
                     }
                 });
@@ -151,19 +152,53 @@
 
     /// Whether a request that may have run is sent again.
     fn may_repeat(&self, target: &Target, fault: Fault) -> bool {
-        match fault {
-            Fault::Late | Fault::Quarantined => false,
-            // It was left for another one, which is paid for.
-            Fault::Silent => true,
-            _ => self.plan.call.idempotent && self.repeat(target, fault.as_str(), self.sent),
+        let pointless = matches!(fault, Fault::Late | Fault::Quarantined);
+        self.plan.call.idempotent && !pointless && self.repeat(target, fault.as_str(), self.sent)
+    }
+
+    /// Sends a request, and to another node too while the first one is silent; the outcome, and the other node if it is
+    /// from there. The first is never given up for nothing, as its upstream may be at work.
+    async fn hedged(
+        &mut self,
+        target: &Target,
+        call: Call,
+        body: &Bytes,
+    ) -> (Option<Target>, Outcome<P>) {
+        let (shared, head) = (self.shared, self.head);
+        let (node, idempotent) = (&target.record.node, call.idempotent);
+        let mut first = pin!(send(shared, target, call.clone(), head, body));
+        if !idempotent || target.local {
+            return (None, first.await);
+        }
+        loop {
+            let look = shared.peer(node, |peer| peer.silence());
+            if let Ok(outcome) = tokio::time::timeout(look, &mut first).await {
+                return (None, outcome);
+            }
+            let now = shared.now();
+            if !shared.peer(node, |peer| peer.is_silent(now)) {
+                continue;
+            }
+            let Some(other) = self.hedge(target) else { continue };
+            let second = send(shared, &other, call, head, body);
+            let (from_other, outcome) = first_answer(first, pin!(second)).await;
+            if from_other {
+                let now = shared.now();
+                shared.peer(node, |peer| peer.failed(now));
+            }
+            return (from_other.then_some(other), outcome);
         }
     }
 
-    /// Whether a request that is out leaves a silent node for another one, which is paid for then.
-    fn leaves(&self, target: &Target) -> bool {
-        self.plan.call.idempotent
-            && self.shared.choose(&self.plan.call.service, &self.tried).is_some()
-            && self.repeat(target, Fault::Silent.as_str(), self.sent + 1)
+    /// Another node for a request whose first is silent, if there is one and the share of retries pays for it.
+    fn hedge(&mut self, target: &Target) -> Option<Target> {
+        let (other, _) = self.shared.choose(&self.plan.call.service, &self.tried)?;
+        if !self.repeat(target, "silent", self.sent + 1) {
+            return None;
+        }
+        self.tried.push(other.record.node.clone());
+        self.sent += 1;
+        Some(other)
     }
 
     /// Pays for another upstream, if that many may be sent the request.
@@ -192,6 +227,26 @@
     }
 }
 
+/// The first answer of two sends, and whether it is the second's; the first's outcome if there is none.
+async fn first_answer<P: Platform>(
+    mut first: Pin<&mut impl Future<Output = Outcome<P>>>,
+    mut second: Pin<&mut impl Future<Output = Outcome<P>>>,
+) -> (bool, Outcome<P>) {
+    let answers = |outcome: &Outcome<P>| matches!(outcome, Outcome::Answer { unrun: false, .. });
+    tokio::select! {
+        outcome = &mut first => {
+            if answers(&outcome) {
+                return (false, outcome);
+            }
+            let other = second.await;
+            if answers(&other) { (true, other) } else { (false, outcome) }
+        }
+        outcome = &mut second => {
+            if answers(&outcome) { (true, outcome) } else { (false, first.await) }
+        }
+    }
+}
+
 /// Wait for a slot that is accepted. A tree that has begun waits as long as it can; another request only as long as
 /// its answer keeps its worth.
 fn patience(call: &Call, last: bool, now: Instant) -> Duration {
@@ -211,10 +266,9 @@
     call: Call,
     head: &Head,
     body: &Bytes,
-    leaves: impl Fn() -> bool,
 ) -> Outcome<P> {
     if !target.local {
-        return peer::send(shared, target, &call, head, body, leaves).await;
+        return peer::send(shared, target, &call, head, body).await;
     }
     let sent = peer::Sent::new(shared.clone(), target.record.node.clone());
     let outcome = guard::serve(shared, &call, head, body).await;
--- a/components/mesh/tests/upstream.rs
+++ b/components/mesh/tests/upstream.rs
@@ -7,9 +7,14 @@
 use googletest::prelude::*;
 use mesh::decide::members::Standing;
 use mesh::platform::{Announcement, Beat, State};
-use mesh::process::upstream::{Change, Upstream};
+use mesh::process::upstream::{Change, Moment, Upstream};
 
 const EVERY: Duration = Duration::from_millis(1_500);
+const DRAIN: Duration = Duration::from_millis(1_500);
+
+fn at(now: Instant) -> Moment {
+    Moment { now, wall: 1_000_000 }
+}
 
 fn beat(id: &str, born: u64, sequence: u64, state: State) -> Announcement {
     Announcement::Beat(Beat {
@@ -27,58 +32,72 @@
 #[gtest]
 fn nothing_is_sent_before_the_first_announcement() {
     let now = Instant::now();
-    let upstream = Upstream::new(EVERY, now);
+    let upstream = Upstream::new(EVERY, DRAIN, now);
     expect_that!(upstream.standing(), eq(Standing::Unknown));
-    expect_that!(upstream.pin(now), none());
+    expect_that!(upstream.pin(at(now)), none());
 }
 
 #[gtest]
 fn one_that_leaves_stays_leaving_whatever_comes_late() {
     let now = Instant::now();
-    let mut upstream = Upstream::new(EVERY, now);
-    upstream.take(beat("i", 10, 1, State::Ready), now);
-    expect_that!(upstream.take(beat("i", 10, 3, State::Draining), now), eq(Change::Updated));
-    expect_that!(upstream.take(beat("i", 10, 2, State::Ready), now), eq(Change::Old));
-    upstream.take(beat("i", 10, 4, State::Ready), now);
+    let mut upstream = Upstream::new(EVERY, DRAIN, now);
+    upstream.take(beat("i", 10, 1, State::Ready), at(now));
+    expect_that!(upstream.take(beat("i", 10, 3, State::Draining), at(now)), eq(Change::Updated));
+    expect_that!(upstream.take(beat("i", 10, 2, State::Ready), at(now)), eq(Change::Old));
+    upstream.take(beat("i", 10, 4, State::Ready), at(now));
     expect_that!(upstream.standing(), eq(Standing::Leaving));
-    expect_that!(upstream.pin(now + Duration::from_secs(1)), none());
+    expect_that!(upstream.pin(at(now + Duration::from_secs(1))), none());
 }
 
 #[gtest]
 fn one_that_only_deregisters_leaves_as_well() {
     let now = Instant::now();
-    let mut upstream = Upstream::new(EVERY, now);
-    upstream.take(beat("i", 10, 1, State::Ready), now);
+    let mut upstream = Upstream::new(EVERY, DRAIN, now);
+    upstream.take(beat("i", 10, 1, State::Ready), at(now));
     let other = Announcement::Leave { id: "j".to_owned() };
-    expect_that!(upstream.take(other, now), eq(Change::Old));
+    expect_that!(upstream.take(other, at(now)), eq(Change::Old));
     let leave = Announcement::Leave { id: "i".to_owned() };
-    expect_that!(upstream.take(leave, now), eq(Change::Updated));
+    expect_that!(upstream.take(leave, at(now)), eq(Change::Updated));
     expect_that!(upstream.standing(), eq(Standing::Leaving));
 }
 
 #[gtest]
 fn a_new_incarnation_takes_over_even_under_the_same_id() {
     let now = Instant::now();
-    let mut upstream = Upstream::new(EVERY, now);
-    upstream.take(beat("i", 10, 9, State::Draining), now);
-    expect_that!(upstream.take(beat("i", 20, 1, State::Ready), now), eq(Change::Started));
+    let mut upstream = Upstream::new(EVERY, DRAIN, now);
+    upstream.take(beat("i", 10, 9, State::Draining), at(now));
+    expect_that!(upstream.take(beat("i", 20, 1, State::Ready), at(now)), eq(Change::Started));
     expect_that!(upstream.standing(), eq(Standing::Ready));
 }
 
 #[gtest]
 fn a_late_beat_of_an_earlier_incarnation_changes_nothing() {
     let now = Instant::now();
-    let mut upstream = Upstream::new(EVERY, now);
-    upstream.take(beat("new", 20, 1, State::Ready), now);
-    expect_that!(upstream.take(beat("old", 10, 99, State::Draining), now), eq(Change::Old));
-    expect_that!(upstream.pin(now).map(|beat| beat.id.clone()), some(eq("new")));
+    let mut upstream = Upstream::new(EVERY, DRAIN, now);
+    upstream.take(beat("new", 20, 1, State::Ready), at(now));
+    expect_that!(upstream.take(beat("old", 10, 99, State::Draining), at(now)), eq(Change::Old));
+    expect_that!(upstream.pin(at(now)).map(|beat| beat.id.clone()), some(eq("new")));
 }
 
 #[gtest]
 fn after_a_long_silence_a_start_in_the_past_is_believed() {
     let now = Instant::now();
-    let mut upstream = Upstream::new(EVERY, now);
-    upstream.take(beat("new", 20, 1, State::Ready), now);
+    let mut upstream = Upstream::new(EVERY, DRAIN, now);
+    upstream.take(beat("new", 20, 1, State::Ready), at(now));
     let later = now + EVERY * 4;
-    expect_that!(upstream.take(beat("back", 15, 1, State::Ready), later), eq(Change::Started));
+    expect_that!(upstream.take(beat("back", 15, 1, State::Ready), at(later)), eq(Change::Started));
+}
+
+/// The steady clock of a machine that was suspended misses that time; the acknowledgement binds all the same.
+#[gtest]
+fn a_leaving_upstream_gets_no_work_after_a_suspension() {
+    let now = Instant::now();
+    let mut upstream = Upstream::new(EVERY, DRAIN, now);
+    upstream.take(beat("i", 10, 1, State::Draining), at(now));
+    let soon = Moment { now: now + Duration::from_millis(300), wall: 1_000_300 };
+    expect_that!(upstream.pin(soon), some(anything()));
+    expect_that!(upstream.pin(Moment { wall: 1_005_000, ..soon }), none());
+    // The time of day may jump back.
+    let late = Moment { now: now + Duration::from_secs(1), wall: 900_000 };
+    expect_that!(upstream.pin(late), none());
 }
