--- a/components/standins/src/cluster.rs
+++ b/components/standins/src/cluster.rs
@@ -11,9 +11,9 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::Request;
 use http_body_util::Full;
@@ -98,7 +98,20 @@
         let listen = self.log_address().to_string();
         let mut all = vec!["--listen", &listen];
         all.extend(args);
-        self.start("log", "standin-log", &all)
+        self.start("log", "standin-log", &all)?;
+        self.listens(self.log_address())
+    }
+
+    /// Waits until a process listens; whoever comes earlier is refused.
+    fn listens(&self, address: SocketAddr) -> io::Result<()> {
+        let start = Instant::now();
+        while let Err(err) = TcpStream::connect(address) {
+            if start.elapsed() > SOON {
+                return Err(err);
+            }
+            std::thread::sleep(POLL);
+        }
+        Ok(())
     }
 
     /// Starts the network: the delay between failure domains and between regions in milliseconds, and the bytes a
