Refuse a hedged request only if both nodes refused it; one function for what fades

Found on reading the change: where neither of two nodes answered, the first one's outcome counted. If it refused late and the second lost the connection to its upstream, the caller would be told 'not run' of a request that may have run (only requests that may be repeated are hedged, but the answer has to be true). Now the second's outcome counts then.

choose had a copy of what Meter does to a value that fades; meter::fade serves both.

--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::meter;
 use super::queue::Load;
 
 /// Time a failed node is avoided at first, and the longest.
@@ -124,7 +125,7 @@
     /// An answer came after `taken`, of which the guard had it for `held`.
     pub fn added(&mut self, taken: Duration, held: Duration, now: Instant) {
         let added = taken.saturating_sub(held).as_secs_f64();
-        self.added = fade(self.added, self.measured, ADDED_FADE, now);
+        self.added = meter::fade(self.added, self.measured, ADDED_FADE, now);
         self.added += (added - self.added) * ADDED_WEIGHT;
         self.measured = now;
     }
@@ -161,7 +162,7 @@
     }
 
     fn faded(&self, now: Instant) -> f64 {
-        fade(self.spoilt, self.judged, SPOILT_FADE, now)
+        meter::fade(self.spoilt, self.judged, SPOILT_FADE, now)
     }
 
     fn wait(&self, now: Instant) -> Duration {
@@ -185,15 +186,10 @@
         };
         let avoid = avoid || self.rests(now);
         let spoilt = SPOILT_COST.mul_f64(self.faded(now));
-        let added = fade(self.added, self.measured, ADDED_FADE, now);
+        let added = meter::fade(self.added, self.measured, ADDED_FADE, now);
         let added = Duration::from_secs_f64(added).saturating_sub(place);
         let silent = if self.is_silent(now) { SILENT_COST } else { Duration::ZERO };
         let avoided = if avoid { AVOIDED } else { Duration::ZERO };
         self.wait(now) + place + spoilt + added + silent + avoided
     }
 }
-
-fn fade(value: f64, since: Instant, span: Duration, now: Instant) -> f64 {
-    let age = now.saturating_duration_since(since).as_secs_f64();
-    value * (-age / span.as_secs_f64()).exp()
-}
--- a/components/mesh/src/decide/meter.rs
+++ b/components/mesh/src/decide/meter.rs
@@ -28,7 +28,12 @@
     }
 
     fn faded(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at).as_secs_f64();
-        self.sum * (-age / self.span.as_secs_f64()).exp()
+        fade(self.sum, self.at, self.span, now)
     }
 }
+
+/// What is left of a value that fades over `span`.
+pub fn fade(value: f64, since: Instant, span: Duration, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(since).as_secs_f64();
+    value * (-age / span.as_secs_f64()).exp()
+}
--- a/components/mesh/src/request/tries.rs
+++ b/components/mesh/src/request/tries.rs
@@ -227,24 +227,29 @@
     }
 }
 
-/// The first answer of two sends, and whether it is the second's; the first's outcome if there is none.
+/// The first answer of two sends, and whether it is the second's. Where neither answers, a refusal counts only if both
+/// refused: the other one may have run the request.
 async fn first_answer<P: Platform>(
     mut first: Pin<&mut impl Future<Output = Outcome<P>>>,
     mut second: Pin<&mut impl Future<Output = Outcome<P>>>,
 ) -> (bool, Outcome<P>) {
     let answers = |outcome: &Outcome<P>| matches!(outcome, Outcome::Answer { unrun: false, .. });
-    tokio::select! {
+    let (one, two) = tokio::select! {
         outcome = &mut first => {
             if answers(&outcome) {
                 return (false, outcome);
             }
-            let other = second.await;
-            if answers(&other) { (true, other) } else { (false, outcome) }
+            (outcome, second.await)
         }
         outcome = &mut second => {
-            if answers(&outcome) { (true, outcome) } else { (false, first.await) }
+            if answers(&outcome) {
+                return (true, outcome);
+            }
+            (first.await, outcome)
         }
-    }
+    };
+    let from_second = !answers(&one) && (answers(&two) || matches!(one, Outcome::Refused(_)));
+    (from_second, if from_second { two } else { one })
 }
 
 /// Wait for a slot that is accepted. A tree that has begun waits as long as it can; another request only as long as
