Log and count what upstreams announce as their rate limit

Cause: no line or metric told when an upstream's answers carry a limit, so the hypotheses of the incident could not be told apart.

The guard logs rate-limit-changed, counts requests to its upstream and invalid values, and exports the limit as a gauge.

--- a/components/board/src/lib.rs
+++ b/components/board/src/lib.rs
@@ -1,7 +1,7 @@
 //! Metrics of one node, in a registry whose metric names share a prefix.
 
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
+    Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
     TextEncoder,
 };
 
@@ -40,6 +40,13 @@
         Ok(metric)
     }
 
+    /// Registers a gauge with fractional values.
+    pub fn float_gauge(&self, name: &str, help: &str) -> Result<Gauge> {
+        let metric = Gauge::with_opts(opts(name, help))?;
+        self.registry.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+
     /// Registers a histogram with the given bucket bounds.
     pub fn histogram(&self, name: &str, help: &str, buckets: &[f64]) -> Result<Histogram> {
         let opts = HistogramOpts { common_opts: opts(name, help), buckets: buckets.to_vec() };
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -47,6 +47,8 @@
     pub caller: HeaderName,
     /// Set by an upstream that did not run the request.
     pub not_run: HeaderName,
+    /// Requests per second that an upstream accepts, in answers while it limits them.
+    pub rate_limit: HeaderName,
 }
 
 /// State that an upstream announces.
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -64,6 +64,12 @@
         slots: u32,
         sequence: u64,
     },
+    RateLimitChanged {
+        upstream: &'a str,
+        /// Requests per second; none without a limit.
+        from: Option<f64>,
+        to: Option<f64>,
+    },
     AnnouncementRefused {
         #[serde(rename = "why")]
         reason: &'a str,
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters, gauges and histograms of the node.
 
 use board::MetricsRegistry;
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec, IntGauge};
 
 /// Upper bounds of the histogram buckets, from a local answer to the longest deadline.
 const BUCKETS_SECONDS: [f64; 12] =
@@ -35,13 +35,30 @@
     pub running: IntGauge,
     /// Requests waiting for the upstream.
     pub waiting: IntGauge,
+    /// Requests sent to the upstream.
+    pub upstream_requests: IntCounter,
+    /// Requests per second that the upstream accepts; infinite without a limit.
+    pub rate_limit: Gauge,
+    /// Headers of the upstream's answers with an invalid value, by header.
+    pub invalid_headers: IntCounterVec,
 }
 
 impl Metrics {
     /// Registers all metrics.
     pub fn new() -> prometheus::Result<Self> {
         let registry = MetricsRegistry::new();
+        let rate_limit = registry
+            .float_gauge("upstream_rate_limit", "Requests a second that the upstream accepts.")?;
+        rate_limit.set(f64::INFINITY);
         Ok(Self {
+            rate_limit,
+            upstream_requests: registry
+                .counter("upstream_requests_total", "Requests sent to the upstream.")?,
+            invalid_headers: registry.counters(
+                "invalid_headers_total",
+                "Headers of the upstream's answers with an invalid value.",
+                &["header"],
+            )?,
             failed_exchanges: registry
                 .counter("exchanges_failed_total", "Exchanges with other nodes that failed.")?,
             calls: registry.counters(
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use http::header;
-use http::{Request, Response, response};
+use http::{HeaderMap, Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use quarantine::Fingerprint;
+use units::Rate;
 
 use super::body::{Payload, Resources};
 use super::call::{self, Call, RequestHead};
@@ -87,13 +88,14 @@
         Err(refusal) => return Outcome::Refused(refusal),
     };
     let request = build_request(shared, call, head, body, &upstream, left);
+    shared.metrics.upstream_requests.inc();
     let max_idle = if call.idempotent { MAX_IDLE } else { MAX_IDLE_UNSAFE };
     let answer = shared.upstream_pool.send(shared.settings.upstream, request, max_idle, now);
     let result = match tokio::time::timeout(left + RESPONSE_GRACE, answer).await {
         Ok(Ok((response, connection))) => {
             let remaining =
                 (left + RESPONSE_GRACE).saturating_sub(shared.now().saturating_duration_since(now));
-            let read = read_response(shared, head, response, connection, slot);
+            let read = read_response(shared, head, &upstream, response, connection, slot);
             tokio::time::timeout(remaining, read).await.unwrap_or(Err(RunError::Timeout))
         }
         Ok(Err(SendError::NotSent(reason))) => Err(RunError::NotSent(reason)),
@@ -188,6 +190,7 @@
 async fn read_response<P: Platform>(
     shared: &Arc<Shared<P>>,
     head: &RequestHead,
+    upstream: &Heartbeat,
     response: Response<Incoming>,
     connection: PooledConnection,
     mut slot: HeldSlot<P>,
@@ -203,6 +206,7 @@
     if parts.status.is_informational() || parts.headers.contains_key(header::CONTENT_ENCODING) {
         return Err(RunError::Mismatch);
     }
+    record_rate_limit(shared, upstream, &parts.headers);
     slot.complete = !not_run && !parts.status.is_server_error();
     let reusable = !closes_connection(&parts);
     let resources = Resources { slot: Some(slot), in_flight: None, connection: Some(connection) };
@@ -218,6 +222,22 @@
     Ok(Outcome::Answer { head: Box::new(parts), body, not_run })
 }
 
+/// Records the rate limit that an answer announces.
+fn record_rate_limit<P: Platform>(shared: &Shared<P>, upstream: &Heartbeat, headers: &HeaderMap) {
+    let name = &shared.platform.headers().rate_limit;
+    let announced: Option<Rate> = call::parse_header(headers, name);
+    if announced.is_none() && headers.contains_key(name) {
+        shared.metrics.invalid_headers.with_label_values(&[name.as_str()]).inc();
+        return;
+    }
+    let previous = std::mem::replace(&mut *lock(&shared.rate_limit), announced);
+    if previous != announced {
+        shared.metrics.rate_limit.set(announced.map_or(f64::INFINITY, |rate| rate.0));
+        let (from, to) = (previous.map(|rate| rate.0), announced.map(|rate| rate.0));
+        shared.log(&Event::RateLimitChanged { upstream: &upstream.id, from, to });
+    }
+}
+
 fn closes_connection(parts: &response::Parts) -> bool {
     let value = parts.headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
     value.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
