Keep the rate limit that an upstream announces

Each request to an upstream passes the node beside it, so that node has to apply the limit to the requests of all others.

Change: a token bucket beside the slots of the guard's queue. Requests wait for slots and tokens in one queue by priority, and are refused before the first byte (reason `limited`, with the expected wait for Retry-After) if the wait is longer than the entry accepts. A refusal there draws on no retry budget. A lower limit counts at once; one that is higher or missing only if its request was sent after the last answer that confirmed the limit, as answers overtake each other, and a missing one doubles the rate instead of ending the limit. At 0, one request in two seconds is sent to learn its end. Invalid values are counted and change nothing. Until the first answer of an incarnation at most four requests run at once, as they may be refused by a limit that a restarted node does not know. Entries estimate waits from the reported rate and tokens, and the admission of roots plans with the slots that the rate can fill.

The queue's tests: release() no longer grants, so they call grant_next() after it; the test under twice the load records a first answer, without which not all slots are used. No check changed.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -8,4 +8,5 @@
 pub mod meter;
 pub mod parents;
 pub mod queue;
+pub mod rate_limit;
 pub mod split;
--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -180,8 +180,18 @@
         let sent_since =
             self.inflight.saturating_sub(if fresh { self.reported_inflight } else { 0 });
         let excess = (reported + sent_since + 1).saturating_sub(self.report.limit);
-        let slot_interval = f64::from(self.report.held_us) / 1e6 / f64::from(self.report.limit);
-        Duration::from_secs_f64(f64::from(excess) * slot_interval)
+        let slot_interval = self.report.held_secs() / f64::from(self.report.limit);
+        let slot_wait = f64::from(excess) * slot_interval;
+        let token_wait = self.report.rate.map_or(0.0, |rate| {
+            let (waiting, tokens) = if fresh {
+                (self.report.waiting, self.report.tokens)
+            } else {
+                (0, self.report.tokens.max(1.0))
+            };
+            let queued = f64::from(waiting + sent_since + 1);
+            (queued - tokens).max(0.0) / rate.0
+        });
+        Duration::from_secs_f64(slot_wait.max(token_wait))
     }
 
     /// Cost of sending a request to the node, as time.
--- a/components/mesh/src/decide/demand.rs
+++ b/components/mesh/src/decide/demand.rs
@@ -39,8 +39,8 @@
         add_rates(self.used.entry(record.service.clone()).or_default(), &measurements.used);
         if record.state == UpstreamState::Ready {
             let load = measurements.load();
-            let backlog = f64::from(load.waiting) * f64::from(load.held_us) / 1e6;
-            *self.slots.entry(record.service.clone()).or_default() += f64::from(load.limit);
+            let backlog = f64::from(load.waiting) * load.held_secs();
+            *self.slots.entry(record.service.clone()).or_default() += load.usable_slots();
             *self.backlog.entry(record.service.clone()).or_default() += backlog;
         }
     }
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
+use units::Rate;
 
 use super::queue::Load;
 
@@ -83,6 +84,9 @@
     /// Running and waiting requests, the limit on running ones, and the average time that a slot is held, in
     /// microseconds.
     pub load: (u32, u32, u32, u32),
+    /// Requests per second that may be sent to the upstream, and how many of them at once, while there is a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<(f64, f64)>,
     /// Requests per second that arrived from clients and from the node's upstream, by route.
     #[serde(rename = "came")]
     pub arrivals: Rates,
@@ -96,7 +100,9 @@
     /// The reported load.
     pub fn load(&self) -> Load {
         let (running, waiting, limit, held_us) = self.load;
-        Load { running, waiting, limit, held_us }
+        let rate = self.rate.map(|(rate, _)| Rate(rate));
+        let tokens = self.rate.map_or(0.0, |(_, tokens)| tokens);
+        Load { running, waiting, limit, held_us, rate, tokens }
     }
 }
 
--- a/components/mesh/src/decide/queue.rs
+++ b/components/mesh/src/decide/queue.rs
@@ -1,10 +1,14 @@
-//! The slots of a guard's upstream and the short queue for them.
+//! The slots of a guard's upstream, its rate limit, and the short queue for both.
 //!
 //! Requests are ordered by priority, and within a priority by the target time of their answer.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use units::Rate;
+
+use super::rate_limit::{Answer, RateLimit};
+
 /// Share of the announced slots that is used: upstreams slow down when the last ones are taken.
 const USABLE_SHARE: f64 = 0.95;
 /// Weight of one request in the moving average of the time that a slot is held.
@@ -36,6 +40,8 @@
     Refuse {
         /// The expected wait.
         wait: Duration,
+        /// Whether the rate limit, rather than the slots, causes it.
+        rate_limited: bool,
     },
 }
 
@@ -58,6 +64,23 @@
     pub limit: u32,
     /// Average time that a slot is held, in microseconds.
     pub held_us: u32,
+    /// Requests per second that may be sent, while there is a rate limit.
+    pub rate: Option<Rate>,
+    /// Requests that may be sent at once within that limit.
+    pub tokens: f64,
+}
+
+impl Load {
+    /// Average time that a slot is held, in seconds.
+    pub fn held_secs(&self) -> f64 {
+        f64::from(self.held_us) / 1e6
+    }
+
+    /// Slots that can be in use: all, or those that the rate limit fills.
+    pub fn usable_slots(&self) -> f64 {
+        let rate_slots = self.rate.map_or(f64::INFINITY, |rate| rate.0 * self.held_secs());
+        f64::from(self.limit).min(rate_slots)
+    }
 }
 
 /// Slots of one upstream and the requests that wait for them.
@@ -66,6 +89,7 @@
     limit: u32,
     running: u32,
     held_secs: f64,
+    rate_limit: RateLimit,
     waiting: BTreeMap<Position, T>,
     next_number: u64,
 }
@@ -77,6 +101,7 @@
             limit: 1,
             running: 0,
             held_secs: INITIAL_HELD_SECS,
+            rate_limit: RateLimit::default(),
             waiting: BTreeMap::new(),
             next_number: 0,
         }
@@ -87,13 +112,32 @@
         self.limit = ((f64::from(slots) * USABLE_SHARE) as u32).max(1);
     }
 
+    /// Forgets the rate limit: a new incarnation of the upstream has started.
+    pub fn reset_rate_limit(&mut self) {
+        self.rate_limit = RateLimit::default();
+    }
+
+    /// Updates the rate limit from an answer of the upstream.
+    pub fn record_answer(&mut self, answer: Answer, now: Instant) {
+        let capacity = f64::from(self.limit) / self.held_secs;
+        self.rate_limit.record_answer(answer, capacity, now);
+    }
+
+    /// The announced rate limit.
+    pub fn announced_limit(&self) -> Option<Rate> {
+        self.rate_limit.announced()
+    }
+
     /// Current load.
     pub fn load(&self) -> Load {
+        let rate = self.rate_limit.rate_and_tokens();
         Load {
             running: self.running,
             waiting: self.waiting.len() as u32,
             limit: self.limit,
             held_us: (self.held_secs * 1e6) as u32,
+            rate: rate.map(|(rate, _)| rate),
+            tokens: rate.map_or(0.0, |(_, tokens)| tokens),
         }
     }
 
@@ -104,7 +148,7 @@
         now: Instant,
         make_value: impl FnOnce() -> T,
     ) -> Decision {
-        if self.running < self.limit && self.waiting.is_empty() {
+        if self.running < self.slots() && self.waiting.is_empty() && self.rate_limit.try_take(now) {
             self.running += 1;
             return Decision::Run;
         }
@@ -113,27 +157,36 @@
             target_time: request.target_time,
             number: self.next_number,
         };
-        let wait = self.expected_wait(position);
+        let (slot_wait, token_wait) = self.expected_waits(position, now);
+        let wait = slot_wait.max(token_wait);
         if wait > request.max_wait || now + wait >= request.deadline {
-            return Decision::Refuse { wait };
+            return Decision::Refuse { wait, rate_limited: token_wait > slot_wait };
         }
         self.next_number += 1;
         self.waiting.insert(position, make_value());
         Decision::Wait(position)
     }
 
-    /// Frees a slot and returns the request that takes it; `complete` if `held` counts for the average.
-    pub fn release(&mut self, held: Duration, complete: bool) -> Option<T> {
+    /// Frees a slot; `complete` if `held` counts for the average.
+    pub fn release(&mut self, held: Duration, complete: bool) {
         if complete {
             self.held_secs += (held.as_secs_f64() - self.held_secs) * HELD_WEIGHT;
         }
         self.running = self.running.saturating_sub(1);
-        self.grant_next()
     }
 
-    /// Starts the next request if a slot is free.
-    pub fn grant_next(&mut self) -> Option<T> {
-        if self.running >= self.limit {
+    /// Frees a slot whose request was not sent.
+    pub fn release_unused(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        self.rate_limit.put_back();
+    }
+
+    /// Starts the next request if a slot is free and the rate limit allows it.
+    pub fn grant_next(&mut self, now: Instant) -> Option<T> {
+        if self.running >= self.slots() || self.waiting.is_empty() {
+            return None;
+        }
+        if !self.rate_limit.try_take(now) {
             return None;
         }
         let (_, value) = self.waiting.pop_first()?;
@@ -146,9 +199,27 @@
         self.waiting.remove(&position).is_some()
     }
 
-    fn expected_wait(&self, position: Position) -> Duration {
-        let ahead = self.waiting.range(..position).count() as f64 + 1.0;
-        Duration::from_secs_f64(ahead * self.held_secs / f64::from(self.limit))
+    /// Time until the rate limit allows the request at a position; zero if only slots are short.
+    pub fn token_wait(&self, position: Position, now: Instant) -> Duration {
+        self.rate_limit.wait(self.ahead(position) + 1.0, now)
+    }
+
+    /// Slots that may be in use.
+    fn slots(&self) -> u32 {
+        self.limit.min(self.rate_limit.concurrency())
+    }
+
+    fn ahead(&self, position: Position) -> f64 {
+        self.waiting.range(..position).count() as f64
+    }
+
+    /// Expected waits for a slot, and for the rate limit.
+    fn expected_waits(&self, position: Position, now: Instant) -> (Duration, Duration) {
+        let place = self.ahead(position) + 1.0;
+        let free = f64::from(self.slots().saturating_sub(self.running));
+        let slot_secs =
+            if place <= free { 0.0 } else { place * self.held_secs / f64::from(self.limit) };
+        (Duration::from_secs_f64(slot_secs), self.token_wait(position, now))
     }
 }
 
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -8,6 +8,7 @@
 use http::{HeaderName, Method};
 use quick_error::quick_error;
 use units::Clock;
+use xxhash_rust::xxh3;
 
 use crate::configuration::Configuration;
 
@@ -81,6 +82,13 @@
     pub warmup: Duration,
 }
 
+impl Heartbeat {
+    /// Identifies the upstream's incarnation.
+    pub fn incarnation(&self) -> u64 {
+        xxh3::xxh3_64_with_seed(self.id.as_bytes(), self.started_ms)
+    }
+}
+
 /// A message from an upstream to the node beside it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Announcement {
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -1,5 +1,6 @@
 //! Components that live as long as the process.
 
+pub mod announced;
 pub mod control;
 pub mod events;
 pub mod exchange;
--- /dev/null
+++ b/components/mesh/src/process/announced.rs
@@ -0,0 +1,78 @@
+//! What the upstream announces in its answers: a rate limit.
+//!
+//! Only this node reaches the upstream, so it applies the limit to the requests of all nodes.
+
+use std::time::Instant;
+
+use http::{HeaderMap, StatusCode, response};
+use units::Rate;
+
+use super::events::Event;
+use super::shared::{Shared, lock};
+use crate::decide::rate_limit::{Announced, Answer};
+use crate::platform::{Heartbeat, Platform};
+
+/// Records what an answer to a request announces that was sent at `sent_at`.
+pub fn record_answer<P: Platform>(
+    shared: &Shared<P>,
+    upstream: &Heartbeat,
+    head: &response::Parts,
+    sent_at: Instant,
+    not_run: bool,
+) {
+    let misdirected = not_run && head.status == StatusCode::MISDIRECTED_REQUEST;
+    let current = lock(&shared.upstream).last_heartbeat().map(Heartbeat::incarnation);
+    if misdirected || current != Some(upstream.incarnation()) {
+        // Another incarnation answered, or another one has started since.
+        return;
+    }
+    let announced = announced_limit(shared, &head.headers);
+    let ran = !not_run && !head.status.is_server_error();
+    let answer = Answer { announced, sent_at, ran };
+    let (before, after) = shared.limiter.record_answer(answer, shared.now());
+    rate_limit_changed(shared, &upstream.id, before, after, "answer");
+}
+
+/// Forgets the rate limit, as a new incarnation of the upstream has started.
+pub fn reset_rate_limit<P: Platform>(shared: &Shared<P>, id: &str) {
+    let before = shared.limiter.announced_limit();
+    shared.limiter.reset_rate_limit();
+    rate_limit_changed(shared, id, before, None, "start");
+}
+
+/// The announced limit; the lowest if there are several.
+fn announced_limit<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> Announced {
+    let name = &shared.platform.headers().rate_limit;
+    let mut lowest: Option<Rate> = None;
+    let mut invalid = false;
+    for value in headers.get_all(name) {
+        match value.to_str().ok().and_then(|text| text.trim().parse::<Rate>().ok()) {
+            Some(rate) if lowest.is_none_or(|lowest| rate < lowest) => lowest = Some(rate),
+            Some(_) => {}
+            None => invalid = true,
+        }
+    }
+    if invalid {
+        shared.metrics.upstream.invalid_headers.with_label_values(&[name.as_str()]).inc();
+    }
+    match lowest {
+        Some(rate) => Announced::Limit(rate),
+        None if invalid => Announced::Invalid,
+        None => Announced::Unlimited,
+    }
+}
+
+fn rate_limit_changed<P: Platform>(
+    shared: &Shared<P>,
+    id: &str,
+    before: Option<Rate>,
+    after: Option<Rate>,
+    from: &str,
+) {
+    if before == after {
+        return;
+    }
+    shared.metrics.upstream.rate_limit.set(after.map_or(f64::INFINITY, |rate| rate.0));
+    let (before, after) = (before.map(|rate| rate.0), after.map(|rate| rate.0));
+    shared.log(&Event::RateLimitChanged { upstream: id, before, after, from });
+}
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 
+use super::announced;
 use super::events::Event;
 use super::shared::{Shared, lock, state_name};
 use super::upstream::Change;
@@ -54,6 +55,12 @@
         shared.log(&Event::AnnouncementRefused { reason: &reason });
         return response(StatusCode::BAD_REQUEST, "another service");
     }
+    announce(shared, announcement, "upstream");
+    response(StatusCode::OK, "{}")
+}
+
+/// Applies an announcement that came directly from the upstream or with one of its answers.
+pub fn announce<P: Platform>(shared: &Shared<P>, announcement: Announcement, from: &str) {
     let now = shared.moment();
     let (change, reported) = {
         let mut upstream = lock(&shared.upstream);
@@ -62,9 +69,8 @@
         (change, heartbeat.map(|heartbeat| (heartbeat, upstream.state())))
     };
     if let (Change::Started | Change::Updated, Some((heartbeat, state))) = (change, reported) {
-        upstream_changed(shared, &heartbeat, state, change == Change::Started);
+        upstream_changed(shared, &heartbeat, state, change == Change::Started, from);
     }
-    response(StatusCode::OK, "{}")
 }
 
 /// Applies a changed state of the upstream.
@@ -73,15 +79,18 @@
     heartbeat: &Heartbeat,
     state: UpstreamState,
     started: bool,
+    from: &str,
 ) {
     shared.log(&Event::UpstreamChanged {
         id: &heartbeat.id,
         state: state_name(state),
         slots: heartbeat.slots,
         sequence: heartbeat.sequence,
+        from,
     });
-    shared.limiter.set_slots(heartbeat.slots);
+    shared.limiter.set_slots(heartbeat.slots, shared.now());
     if started {
+        announced::reset_rate_limit(shared, &heartbeat.id);
         shared.upstream_pool.close_idle(shared.settings.upstream);
     }
     shared.publish_upstream();
@@ -91,8 +100,8 @@
 pub async fn metrics<P: Platform>(shared: Arc<Shared<P>>) -> Response<Full<Bytes>> {
     let load = shared.limiter.load();
     shared.metrics.members.set(lock(&shared.members).count_ready() as i64);
-    shared.metrics.running.set(i64::from(load.running));
-    shared.metrics.waiting.set(i64::from(load.waiting));
+    shared.metrics.upstream.running.set(i64::from(load.running));
+    shared.metrics.upstream.waiting.set(i64::from(load.waiting));
     match shared.metrics.text() {
         Ok(text) => Response::new(Full::new(text.into())),
         Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, "metrics can't be written"),
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -63,12 +63,14 @@
         state: &'a str,
         slots: u32,
         sequence: u64,
+        from: &'a str,
     },
     RateLimitChanged {
         upstream: &'a str,
         /// Requests per second; none without a limit.
-        from: Option<f64>,
-        to: Option<f64>,
+        before: Option<f64>,
+        after: Option<f64>,
+        from: &'a str,
     },
     AnnouncementRefused {
         #[serde(rename = "why")]
@@ -148,6 +150,8 @@
         running: u32,
         waiting: u32,
         limit: u32,
+        /// Requests per second that may be sent; none without a limit.
+        rate: Option<f64>,
         wait_ms: u64,
     },
     #[serde(rename = "broken")]
--- a/components/mesh/src/process/limiter.rs
+++ b/components/mesh/src/process/limiter.rs
@@ -1,16 +1,23 @@
-//! Limits the requests that run at the upstream at once; others wait in a priority queue.
+//! Limits the requests that run at the upstream at once, and their rate; others wait in a priority queue.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
+use units::{Clock, Rate};
 
 use crate::decide::queue::{Decision, Load, Position, Queue, SlotRequest};
+use crate::decide::rate_limit::Answer;
 
-/// Concurrency limiter for the upstream beside this node.
+/// Shortest pause of a queued request before it asks for a token again.
+const MIN_TOKEN_PAUSE: Duration = Duration::from_millis(1);
+
+/// Concurrency and rate limiter for the upstream beside this node.
 #[derive(Debug, Default)]
 pub struct Limiter {
     queue: Mutex<Queue<oneshot::Sender<()>>>,
+    /// Notified when the rate limit changes, as queued requests then wait for another time.
+    rate_changed: Notify,
 }
 
 /// Answer to a request for a slot.
@@ -19,8 +26,10 @@
     Run,
     /// The request has to wait.
     Wait(Waiter<'a>),
-    /// Refused: the expected wait is too long.
+    /// Refused: the expected wait for a slot is too long.
     Full(Duration),
+    /// Refused: the rate limit allows the request only after this time.
+    RateLimited(Duration),
 }
 
 /// A queued request; leaves the queue when dropped.
@@ -29,16 +38,41 @@
     position: Position,
     granted: oneshot::Receiver<()>,
     acquired: bool,
+    /// When the queue was last looked at.
+    now: Instant,
 }
 
 impl Limiter {
     /// Sets the number of slots that the upstream announced.
-    pub fn set_slots(&self, slots: u32) {
-        let mut queue = self.lock();
-        queue.set_slots(slots);
-        while let Some(next) = queue.grant_next() {
-            grant(&mut queue, Some(next));
+    pub fn set_slots(&self, slots: u32, now: Instant) {
+        self.lock().set_slots(slots);
+        self.grant_waiting(now);
+    }
+
+    /// Forgets the rate limit: a new incarnation of the upstream has started.
+    pub fn reset_rate_limit(&self) {
+        self.lock().reset_rate_limit();
+        self.rate_changed.notify_waiters();
+    }
+
+    /// Updates the rate limit from an answer; returns the announced limit before and after it.
+    pub fn record_answer(&self, answer: Answer, now: Instant) -> (Option<Rate>, Option<Rate>) {
+        let (before, after) = {
+            let mut queue = self.lock();
+            let before = (queue.announced_limit(), queue.load().rate);
+            queue.record_answer(answer, now);
+            (before, (queue.announced_limit(), queue.load().rate))
+        };
+        self.grant_waiting(now);
+        if before.1 != after.1 {
+            self.rate_changed.notify_waiters();
         }
+        (before.0, after.0)
+    }
+
+    /// The announced rate limit.
+    pub fn announced_limit(&self) -> Option<Rate> {
+        self.lock().announced_limit()
     }
 
     /// Current load.
@@ -52,40 +86,69 @@
         match self.lock().acquire(request, now, || sender) {
             Decision::Run => Acquire::Run,
             Decision::Wait(position) => {
-                Acquire::Wait(Waiter { limiter: self, position, granted, acquired: false })
+                Acquire::Wait(Waiter { limiter: self, position, granted, acquired: false, now })
             }
-            Decision::Refuse { wait } => Acquire::Full(wait),
+            Decision::Refuse { wait, rate_limited: false } => Acquire::Full(wait),
+            Decision::Refuse { wait, rate_limited: true } => Acquire::RateLimited(wait),
         }
     }
 
     /// Releases a slot that was held for `held`; `complete` if the call ran normally, so that the time is typical.
-    pub fn release(&self, held: Duration, complete: bool) {
-        let mut queue = self.lock();
-        let next = queue.release(held, complete);
-        grant(&mut queue, next);
+    pub fn release(&self, held: Duration, complete: bool, now: Instant) {
+        self.lock().release(held, complete);
+        self.grant_waiting(now);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Queue<oneshot::Sender<()>>> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Releases a slot whose request was not sent.
+    pub fn release_unused(&self, now: Instant) {
+        self.lock().release_unused();
+        self.grant_waiting(now);
     }
-}
 
-/// Grants a slot to the next waiter, skipping those that have gone.
-fn grant(queue: &mut Queue<oneshot::Sender<()>>, mut next: Option<oneshot::Sender<()>>) {
-    while let Some(sender) = next {
-        if sender.send(()).is_ok() {
-            return;
+    /// Starts queued requests as far as slots and the rate limit allow, skipping those that have gone.
+    fn grant_waiting(&self, now: Instant) {
+        let mut queue = self.lock();
+        while let Some(sender) = queue.grant_next(now) {
+            if sender.send(()).is_err() {
+                queue.release_unused();
+            }
         }
-        next = queue.release(Duration::ZERO, false);
+    }
+
+    /// When to check again whether the rate limit allows a queued request; `None` if it waits only for a slot.
+    fn token_pause(&self, position: Position, now: Instant) -> Option<Duration> {
+        let wait = self.lock().token_wait(position, now);
+        (!wait.is_zero()).then(|| wait.max(MIN_TOKEN_PAUSE))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Queue<oneshot::Sender<()>>> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Waiter<'_> {
     /// Waits for a slot; false if `deadline` passes first.
-    pub async fn wait(mut self, deadline: Instant) -> bool {
-        let result = tokio::time::timeout_at(deadline.into(), &mut self.granted).await;
-        self.acquired = matches!(result, Ok(Ok(())));
-        self.acquired
+    pub async fn wait(mut self, deadline: Instant, clock: &impl Clock) -> bool {
+        loop {
+            let rate_changed = self.limiter.rate_changed.notified();
+            self.now = clock.now();
+            self.limiter.grant_waiting(self.now);
+            let pause = self.limiter.token_pause(self.position, self.now);
+            let wake_at = pause.map_or(deadline, |pause| deadline.min(self.now + pause));
+            tokio::select! {
+                biased;
+                granted = &mut self.granted => {
+                    self.acquired = granted.is_ok();
+                    return self.acquired;
+                }
+                () = tokio::time::sleep_until(wake_at.into()) => {
+                    if clock.now() >= deadline {
+                        return false;
+                    }
+                }
+                () = rate_changed => {}
+            }
+        }
     }
 }
 
@@ -96,7 +159,7 @@
         }
         // The slot was granted but never used.
         if self.granted.try_recv().is_ok() {
-            self.limiter.release(Duration::ZERO, false);
+            self.limiter.release_unused(self.now);
         }
     }
 }
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -31,34 +31,51 @@
     pub version: IntGauge,
     /// Known nodes whose upstreams accept requests.
     pub members: IntGauge,
+    /// Metrics of the upstream beside the node.
+    pub upstream: UpstreamMetrics,
+}
+
+/// Metrics of the upstream beside the node.
+#[derive(Debug, Clone)]
+pub struct UpstreamMetrics {
     /// Requests running at the upstream.
     pub running: IntGauge,
     /// Requests waiting for the upstream.
     pub waiting: IntGauge,
     /// Requests sent to the upstream.
-    pub upstream_requests: IntCounter,
+    pub requests: IntCounter,
     /// Requests per second that the upstream accepts; infinite without a limit.
     pub rate_limit: Gauge,
     /// Headers of the upstream's answers with an invalid value, by header.
     pub invalid_headers: IntCounterVec,
 }
 
-impl Metrics {
-    /// Registers all metrics.
-    pub fn new() -> prometheus::Result<Self> {
-        let registry = MetricsRegistry::new();
+impl UpstreamMetrics {
+    fn new(registry: &MetricsRegistry) -> prometheus::Result<Self> {
         let rate_limit = registry
             .float_gauge("upstream_rate_limit", "Requests a second that the upstream accepts.")?;
         rate_limit.set(f64::INFINITY);
         Ok(Self {
-            rate_limit,
-            upstream_requests: registry
+            running: registry.gauge("upstream_running", "Requests that run at the upstream.")?,
+            waiting: registry.gauge("upstream_waiting", "Requests that wait for the upstream.")?,
+            requests: registry
                 .counter("upstream_requests_total", "Requests sent to the upstream.")?,
+            rate_limit,
             invalid_headers: registry.counters(
                 "invalid_headers_total",
                 "Headers of the upstream's answers with an invalid value.",
                 &["header"],
             )?,
+        })
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = MetricsRegistry::new();
+        Ok(Self {
+            upstream: UpstreamMetrics::new(&registry)?,
             failed_exchanges: registry
                 .counter("exchanges_failed_total", "Exchanges with other nodes that failed.")?,
             calls: registry.counters(
@@ -95,8 +112,6 @@
             version: registry
                 .gauge("configuration_version", "Version of the configuration in force.")?,
             members: registry.gauge("members_ready", "Nodes known whose upstreams take work.")?,
-            running: registry.gauge("upstream_running", "Requests that run at the upstream.")?,
-            waiting: registry.gauge("upstream_waiting", "Requests that wait for the upstream.")?,
             registry,
         })
     }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -8,7 +8,7 @@
 use quarantine::Fingerprint;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
-use units::{Clock, Rate};
+use units::Clock;
 
 use super::events::{Event, Sink};
 use super::limiter::Limiter;
@@ -71,8 +71,6 @@
     pub limiter: Limiter,
     /// State of the upstream.
     pub upstream: Mutex<Upstream>,
-    /// Requests per second that the upstream accepts, as of its last answer.
-    pub rate_limit: Mutex<Option<Rate>>,
     /// Requests running at the upstream, to find the parents of its calls.
     pub parents: Mutex<ParentTracker<Root>>,
     /// Connections to the upstream.
@@ -136,7 +134,6 @@
                 settings.drain_time,
                 now,
             )),
-            rate_limit: Mutex::default(),
             parents: Mutex::new(ParentTracker::new(now)),
             upstream_pool: Arc::new(Pool::new(None, UPSTREAM_CONNECT_TIMEOUT)),
             peer_pool: Arc::new(Pool::new(Some(settings.listen.peers.ip()), PEER_CONNECT_TIMEOUT)),
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -137,7 +137,7 @@
     };
     let restored = lock(&shared.upstream).resume(heartbeat.clone(), shared.moment());
     if restored {
-        control::upstream_changed(shared, &heartbeat, UpstreamState::Ready, true);
+        control::upstream_changed(shared, &heartbeat, UpstreamState::Ready, true, "store");
     }
 }
 
--- a/components/mesh/src/process/traffic.rs
+++ b/components/mesh/src/process/traffic.rs
@@ -70,6 +70,7 @@
         Measurements {
             sequence: 0,
             load: (load.running, load.waiting, load.limit, load.held_us),
+            rate: load.rate.map(|rate| (rate.0, load.tokens)),
             arrivals: rates(&self.arrived, now),
             admitted: rates(&self.admitted, now),
             used: rates(&self.used, now),
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -243,6 +243,7 @@
         }
         RefusalReason::Unconfigured
         | RefusalReason::Full
+        | RefusalReason::RateLimited
         | RefusalReason::Overload
         | RefusalReason::Deadline => refusal.wait,
     }
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use http::header;
-use http::{HeaderMap, Request, Response, response};
+use http::{Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use quarantine::Fingerprint;
-use units::Rate;
 
 use super::body::{Payload, Resources};
 use super::call::{self, Call, RequestHead};
@@ -19,6 +18,7 @@
 use crate::decide::parents;
 use crate::decide::queue::SlotRequest;
 use crate::platform::{Heartbeat, Platform};
+use crate::process::announced;
 use crate::process::events::Event;
 use crate::process::limiter::Acquire;
 use crate::process::shared::{Shared, lock};
@@ -42,6 +42,8 @@
     key: parents::Key,
     /// Whether the upstream ran the call normally, so that the time held is representative.
     pub complete: bool,
+    /// Whether the call was sent to the upstream.
+    sent: bool,
 }
 
 impl<P: Platform> Drop for HeldSlot<P> {
@@ -49,11 +51,14 @@
         let now = self.shared.now();
         let held = now.saturating_duration_since(self.started);
         lock(&self.shared.parents).remove(self.key);
+        if !self.sent {
+            return self.shared.limiter.release_unused(now);
+        }
         lock(&self.shared.traffic).record_use(&self.route, held, now);
         if self.complete {
             self.shared.metrics.slot_held.observe(held.as_secs_f64());
         }
-        self.shared.limiter.release(held, self.complete);
+        self.shared.limiter.release(held, self.complete, now);
     }
 }
 
@@ -80,7 +85,8 @@
         parents.add(call.remaining(now), now, call.root.clone(), call.internal)
     };
     let route = call.root.route.clone();
-    let slot = HeldSlot { shared: shared.clone(), route, started: now, key, complete: false };
+    let mut slot =
+        HeldSlot { shared: shared.clone(), route, started: now, key, complete: false, sent: false };
     // The upstream may have started to leave while the call waited.
     let upstream = match accepting_upstream(shared, call) {
         Ok(upstream) if left >= MIN_RUN_TIME => upstream,
@@ -88,7 +94,8 @@
         Err(refusal) => return Outcome::Refused(refusal),
     };
     let request = build_request(shared, call, head, body, &upstream, left);
-    shared.metrics.upstream_requests.inc();
+    shared.metrics.upstream.requests.inc();
+    slot.sent = true;
     let max_idle = if call.idempotent { MAX_IDLE } else { MAX_IDLE_UNSAFE };
     let answer = shared.upstream_pool.send(shared.settings.upstream, request, max_idle, now);
     let result = match tokio::time::timeout(left + RESPONSE_GRACE, answer).await {
@@ -143,8 +150,9 @@
     let (reason, wait) = match shared.limiter.acquire(request, now) {
         Acquire::Run => return Ok(()),
         Acquire::Full(wait) => (RefusalReason::Full, wait),
+        Acquire::RateLimited(wait) => (RefusalReason::RateLimited, wait),
         Acquire::Wait(waiter) => {
-            let granted = waiter.wait(*deadline).await;
+            let granted = waiter.wait(*deadline, shared.platform.clock()).await;
             let waited = shared.now().saturating_duration_since(now);
             shared.metrics.slot_wait.observe(waited.as_secs_f64());
             if granted {
@@ -161,6 +169,7 @@
         running: load.running,
         waiting: load.waiting,
         limit: load.limit,
+        rate: load.rate.map(|rate| rate.0),
         wait_ms: wait.as_millis() as u64,
     });
     Err(Refusal { reason, wait })
@@ -206,7 +215,7 @@
     if parts.status.is_informational() || parts.headers.contains_key(header::CONTENT_ENCODING) {
         return Err(RunError::Mismatch);
     }
-    record_rate_limit(shared, upstream, &parts.headers);
+    announced::record_answer(shared, upstream, &parts, slot.started, not_run);
     slot.complete = !not_run && !parts.status.is_server_error();
     let reusable = !closes_connection(&parts);
     let resources = Resources { slot: Some(slot), in_flight: None, connection: Some(connection) };
@@ -222,22 +231,6 @@
     Ok(Outcome::Answer { head: Box::new(parts), body, not_run })
 }
 
-/// Records the rate limit that an answer announces.
-fn record_rate_limit<P: Platform>(shared: &Shared<P>, upstream: &Heartbeat, headers: &HeaderMap) {
-    let name = &shared.platform.headers().rate_limit;
-    let announced: Option<Rate> = call::parse_header(headers, name);
-    if announced.is_none() && headers.contains_key(name) {
-        shared.metrics.invalid_headers.with_label_values(&[name.as_str()]).inc();
-        return;
-    }
-    let previous = std::mem::replace(&mut *lock(&shared.rate_limit), announced);
-    if previous != announced {
-        shared.metrics.rate_limit.set(announced.map_or(f64::INFINITY, |rate| rate.0));
-        let (from, to) = (previous.map(|rate| rate.0), announced.map(|rate| rate.0));
-        shared.log(&Event::RateLimitChanged { upstream: &upstream.id, from, to });
-    }
-}
-
 fn closes_connection(parts: &response::Parts) -> bool {
     let value = parts.headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
     value.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
--- a/components/mesh/src/request/outcome.rs
+++ b/components/mesh/src/request/outcome.rs
@@ -21,6 +21,8 @@
     Leaving,
     /// The expected or actual wait for a slot is too long.
     Full,
+    /// The rate limit that the upstream announced allows the request only later.
+    RateLimited,
     /// A service in the request's call tree is overloaded.
     Overload,
     /// The deadline passed.
@@ -30,11 +32,12 @@
 }
 
 impl RefusalReason {
-    const ALL: [(Self, &'static str); 7] = [
+    const ALL: [(Self, &'static str); 8] = [
         (Self::Unconfigured, "unconfigured"),
         (Self::NoUpstream, "no-upstream"),
         (Self::Leaving, "leaving"),
         (Self::Full, "full"),
+        (Self::RateLimited, "limited"),
         (Self::Overload, "overload"),
         (Self::Deadline, "deadline"),
         (Self::Unreachable, "unreachable"),
@@ -51,7 +54,7 @@
 pub struct Refusal {
     /// Reason of the refusal.
     pub reason: RefusalReason,
-    /// Expected wait until a slot is free.
+    /// Expected wait until a slot is free and the rate limit allows the request.
     pub wait: Duration,
 }
 
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -166,8 +166,9 @@
 
 impl std::fmt::Display for LoadReport {
     fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Load { running, waiting, limit, held_us: held } = self.load;
-        write!(out, "{running}/{waiting}/{limit}/{held}/{}", self.guard_time.as_micros())
+        let Load { running, waiting, limit, held_us: held, rate, tokens } = self.load;
+        write!(out, "{running}/{waiting}/{limit}/{held}/{}", self.guard_time.as_micros())?;
+        rate.map_or(Ok(()), |rate| write!(out, "/{rate}/{tokens:.2}"))
     }
 }
 
@@ -175,9 +176,12 @@
     type Err = std::num::ParseIntError;
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut parts = text.split('/');
-        let mut number = || parts.next().unwrap_or_default().parse();
-        let load =
-            Load { running: number()?, waiting: number()?, limit: number()?, held_us: number()? };
-        Ok(Self { load, guard_time: Duration::from_micros(number()?.into()) })
+        let mut number = || parts.next().unwrap_or_default().parse::<u32>();
+        let (running, waiting, limit, held_us) = (number()?, number()?, number()?, number()?);
+        let guard_time = Duration::from_micros(number()?.into());
+        // Only sent while there is a rate limit.
+        let rate = parts.next().and_then(|rate| rate.parse().ok());
+        let tokens = parts.next().and_then(|tokens| tokens.parse().ok()).unwrap_or_default();
+        Ok(Self { load: Load { running, waiting, limit, held_us, rate, tokens }, guard_time })
     }
 }
--- a/components/mesh/tests/queue.rs
+++ b/components/mesh/tests/queue.rs
@@ -4,9 +4,16 @@
 
 use googletest::prelude::*;
 use mesh::decide::queue::{Decision, Queue, SlotRequest};
+use mesh::decide::rate_limit::{Announced, Answer};
 
 const MS: Duration = Duration::from_millis(1);
 
+/// Frees a slot; the request that takes it.
+fn release<T>(queue: &mut Queue<T>, held: Duration, now: Instant) -> Option<T> {
+    queue.release(held, true);
+    queue.grant_next(now)
+}
+
 fn request(priority: u8, target_time: Instant, now: Instant) -> SlotRequest {
     SlotRequest { priority, target_time, deadline: now + 1_000 * MS, max_wait: 1_000 * MS }
 }
@@ -39,7 +46,7 @@
         let decision = queue.acquire(request(priority, now + target_time * MS, now), now, || name);
         assert_that!(decision, matches_pattern!(Decision::Wait(_)));
     }
-    let order: Vec<_> = (0..3).map(|_| queue.release(50 * MS, true)).collect();
+    let order: Vec<_> = (0..3).map(|_| release(&mut queue, 50 * MS, now)).collect();
     expect_that!(order, eq(&vec![Some("urgent"), Some("patient"), Some("late")]));
 }
 
@@ -72,7 +79,7 @@
         panic!("expected a wait");
     };
     expect_that!(queue.cancel(position), eq(true));
-    expect_that!(queue.release(MS, true), none());
+    expect_that!(release(&mut queue, MS, now), none());
     expect_that!(queue.cancel(position), eq(false));
 }
 
@@ -82,6 +89,9 @@
     let start = Instant::now();
     let mut queue: Queue<u8> = Queue::new();
     queue.set_slots(11);
+    // Before the first answer of the upstream, not all slots are used.
+    let answer = Answer { announced: Announced::Unlimited, sent_at: start, ran: true };
+    queue.record_answer(answer, start);
     let mut running: Vec<Instant> = Vec::new();
     let (mut refused, mut offered) = ([0; 2], [0; 2]);
     for step in 0..4_000_u32 {
@@ -90,7 +100,7 @@
             let ended = *end <= now;
             if ended {
                 // The request that takes the slot is added to `running` below.
-                queue.release(40 * MS, true);
+                release(&mut queue, 40 * MS, now);
             }
             !ended
         });
--- a/components/mesh/tests/routing.rs
+++ b/components/mesh/tests/routing.rs
@@ -140,7 +140,7 @@
 }
 
 fn busy(running: u32, waiting: u32) -> Load {
-    Load { running, waiting, limit: 10, held_us: 50_000 }
+    Load { running, waiting, limit: 10, held_us: 50_000, ..Load::default() }
 }
 
 #[gtest]
