Remember an upstream's rate limit across a restart of its node

What upstreams saw: a node that was stopped or killed forgets the limit of the upstream beside it, and sends the requests of all other machines at full rate until an answer repeats it. The restart excuses only requests that began at that machine.

The limit was kept in the process alone.

Change: a guard adds the announced limit, with the incarnation that announced it, to its answers to other nodes; they return it with their calls, so that a restarted guard has it before it sends the first request. It counts only for the same incarnation (id and start time) and only until an answer has arrived. A planned stop saves it in the node's record, for the case that nobody else has seen it, and it is applied even if a heartbeat comes before the record is read.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -6,6 +6,7 @@
 pub mod demand;
 pub mod members;
 pub mod meter;
+pub mod notice;
 pub mod parents;
 pub mod queue;
 pub mod rate_limit;
--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::meter;
+use super::notice::Notice;
 use super::queue::Load;
 
 /// Time for which a node is avoided after its first failure, and the longest; it doubles with each failure.
@@ -65,6 +66,8 @@
     /// Seconds that the node and the path to it add to the time at the guard, as of the last answer.
     overhead_secs: f64,
     overhead_at: Instant,
+    /// What the upstream beside the node announced, of which the node is reminded with each call.
+    pub notice: Option<Notice>,
 }
 
 impl Peer {
@@ -82,6 +85,7 @@
             progress_at: now,
             overhead_secs: 0.0,
             overhead_at: now,
+            notice: None,
         }
     }
 
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -67,6 +67,9 @@
     pub slots: u32,
     /// Sequence number of its last heartbeat.
     pub sequence: u64,
+    /// Requests per second that it accepts, if it announced a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_limit: Option<f64>,
     /// Milliseconds since the epoch when the node was stopped.
     #[serde(rename = "at")]
     pub stopped_ms: u64,
--- a/components/mesh/src/decide/queue.rs
+++ b/components/mesh/src/decide/queue.rs
@@ -117,6 +117,11 @@
         self.rate_limit = RateLimit::default();
     }
 
+    /// Sets a rate limit that was known before a restart; false if an answer has arrived since.
+    pub fn restore_rate_limit(&mut self, limit: Rate, now: Instant) -> bool {
+        self.rate_limit.restore(limit, now)
+    }
+
     /// Updates the rate limit from an answer of the upstream.
     pub fn record_answer(&mut self, answer: Answer, now: Instant) {
         let capacity = f64::from(self.limit) / self.held_secs;
--- a/components/mesh/src/decide/rate_limit.rs
+++ b/components/mesh/src/decide/rate_limit.rs
@@ -69,6 +69,15 @@
 }
 
 impl RateLimit {
+    /// Sets a limit that was known before a restart; false if an answer has told about it since.
+    pub fn restore(&mut self, limit: Rate, now: Instant) -> bool {
+        let unknown = matches!(self.state, State::Unknown);
+        if unknown {
+            self.state = State::Limited(Bucket::new(limit, now));
+        }
+        unknown
+    }
+
     /// Updates the limit from an answer; `capacity` is the number of requests per second that the slots allow.
     pub fn record_answer(&mut self, answer: Answer, capacity: f64, now: Instant) {
         match (&mut self.state, answer.announced) {
--- a/components/mesh/src/process/announced.rs
+++ b/components/mesh/src/process/announced.rs
@@ -1,6 +1,7 @@
 //! What the upstream announces in its answers: a rate limit.
 //!
-//! Only this node reaches the upstream, so it applies the limit to the requests of all nodes.
+//! Only this node reaches the upstream, so it applies the limit to the requests of all nodes. Entries remember it as a
+//! [`Notice`] and remind this node of it after a restart.
 
 use std::time::Instant;
 
@@ -9,6 +10,7 @@
 
 use super::events::Event;
 use super::shared::{Shared, lock};
+use crate::decide::notice::Notice;
 use crate::decide::rate_limit::{Announced, Answer};
 use crate::platform::{Heartbeat, Platform};
 
@@ -33,6 +35,19 @@
     rate_limit_changed(shared, &upstream.id, before, after, "answer");
 }
 
+/// Applies what another node or the store remembers of the upstream, if it is about the current incarnation.
+pub fn apply_notice<P: Platform>(shared: &Shared<P>, notice: &Notice, from: &str) {
+    let current = lock(&shared.upstream).last_heartbeat().cloned();
+    let Some(heartbeat) = current.filter(|known| known.incarnation() == notice.incarnation) else {
+        return;
+    };
+    if let Some(limit) = notice.rate_limit
+        && shared.limiter.restore_rate_limit(limit, shared.now())
+    {
+        rate_limit_changed(shared, &heartbeat.id, None, Some(limit), from);
+    }
+}
+
 /// Forgets the rate limit, as a new incarnation of the upstream has started.
 pub fn reset_rate_limit<P: Platform>(shared: &Shared<P>, id: &str) {
     let before = shared.limiter.announced_limit();
@@ -40,6 +55,13 @@
     rate_limit_changed(shared, id, before, None, "start");
 }
 
+/// What the current incarnation has announced; `None` if nothing restricts it.
+pub fn notice<P: Platform>(shared: &Shared<P>) -> Option<Notice> {
+    let rate_limit = Some(shared.limiter.announced_limit()?);
+    let incarnation = lock(&shared.upstream).last_heartbeat()?.incarnation();
+    Some(Notice { incarnation, rate_limit })
+}
+
 /// The announced limit; the lowest if there are several.
 fn announced_limit<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> Announced {
     let name = &shared.platform.headers().rate_limit;
--- a/components/mesh/src/process/limiter.rs
+++ b/components/mesh/src/process/limiter.rs
@@ -55,6 +55,13 @@
         self.rate_changed.notify_waiters();
     }
 
+    /// Sets a rate limit that was known before a restart; false if an answer has arrived since.
+    pub fn restore_rate_limit(&self, limit: Rate, now: Instant) -> bool {
+        let restored = self.lock().restore_rate_limit(limit, now);
+        self.rate_changed.notify_waiters();
+        restored
+    }
+
     /// Updates the rate limit from an answer; returns the announced limit before and after it.
     pub fn record_answer(&self, answer: Answer, now: Instant) -> (Option<Rate>, Option<Rate>) {
         let (before, after) = {
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -144,7 +144,8 @@
         shared.leaving.store(true, Ordering::Relaxed);
         shared.publish_upstream();
         let record = {
-            let saved = lock(&shared.upstream).saved_state(shared.wall_ms());
+            let rate_limit = shared.limiter.announced_limit();
+            let saved = lock(&shared.upstream).saved_state(shared.wall_ms(), rate_limit);
             lock(&shared.members)
                 .own()
                 .map(|own| Record { saved_upstream: saved, ..own.record.clone() })
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::announced;
 use super::exchange;
 use super::shared::Shared;
 use crate::connection::socket;
@@ -152,7 +153,11 @@
     let Ok(body) = body::read_request(incoming, MAX_BODY_BYTES).await else {
         return Payload::empty(StatusCode::BAD_REQUEST);
     };
+    if let Some(notice) = call::parse_header(&parts.headers, &call::NOTICE) {
+        announced::apply_notice(shared, &notice, "node");
+    }
     parts.headers.remove(&call::CALL);
+    parts.headers.remove(&call::NOTICE);
     parts.headers.remove(header::CONTENT_LENGTH);
     let head = RequestHead { method: parts.method, path, headers: parts.headers, id };
     let outcome = guard::serve(shared, &header.call(now), &head, &body).await;
@@ -180,6 +185,9 @@
     let guard_time = shared.now().saturating_duration_since(arrived);
     let report = LoadReport { load: shared.limiter.load(), guard_time };
     call::set_header(response.headers_mut(), call::LOAD, report);
+    if let Some(notice) = announced::notice(shared) {
+        call::set_header(response.headers_mut(), call::NOTICE, notice);
+    }
     let leaving = matches!(header, outcome::Header::Refused(refusal) if refusal.reason == RefusalReason::Leaving);
     if leaving || shared.leaving.load(Ordering::Relaxed) {
         call::set_header(response.headers_mut(), header::CONNECTION, "close");
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -4,10 +4,13 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::control;
+use units::Rate;
+
 use super::events::Event;
 use super::shared::{Shared, lock};
+use super::{announced, control};
 use crate::decide::members::{MemberUpdate, Record, SavedUpstream, UpstreamState};
+use crate::decide::notice::Notice;
 use crate::platform::{AnnouncedState, Heartbeat, Platform, StoreError};
 
 /// Timeout of a long poll: long as each call is billed, but bounded as a new call detects a dead connection.
@@ -124,7 +127,9 @@
     let recent = saved.filter(|saved| {
         shared.wall_ms().saturating_sub(saved.stopped_ms) < SAVED_STATE_MAX_AGE.as_millis() as u64
     });
-    let Some(SavedUpstream { id, started_ms, slots, sequence, .. }) = recent else { return };
+    let Some(SavedUpstream { id, started_ms, slots, sequence, rate_limit, .. }) = recent else {
+        return;
+    };
     let heartbeat = Heartbeat {
         id,
         started_ms,
@@ -135,10 +140,13 @@
         state: AnnouncedState::Ready,
         warmup: Duration::ZERO,
     };
+    let notice = Notice { incarnation: heartbeat.incarnation(), rate_limit: rate_limit.map(Rate) };
     let restored = lock(&shared.upstream).resume(heartbeat.clone(), shared.moment());
     if restored {
         control::upstream_changed(shared, &heartbeat, UpstreamState::Ready, true, "store");
     }
+    // A heartbeat may have come first, but it tells nothing of this.
+    announced::apply_notice(shared, &notice, "store");
 }
 
 fn merge_records<P: Platform>(shared: &Shared<P>, records: &[bytes::Bytes]) {
--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use units::Rate;
+
 use crate::decide::members::{SavedUpstream, UpstreamState};
 use crate::platform::{AnnouncedState, Announcement, Heartbeat};
 
@@ -83,7 +85,7 @@
     }
 
     /// The state to save for the next incarnation of the node; `None` if the upstream is unknown or leaving.
-    pub fn saved_state(&self, stopped_ms: u64) -> Option<SavedUpstream> {
+    pub fn saved_state(&self, stopped_ms: u64, rate_limit: Option<Rate>) -> Option<SavedUpstream> {
         let Heartbeat { id, started_ms, slots, sequence, .. } = self.heartbeat.as_ref()?;
         let (id, started_ms, slots, sequence) = (id.clone(), *started_ms, *slots, *sequence);
         self.leaving_since.is_none().then_some(SavedUpstream {
@@ -91,6 +93,7 @@
             started_ms,
             slots,
             sequence,
+            rate_limit: rate_limit.map(|rate| rate.0),
             stopped_ms,
         })
     }
--- a/components/mesh/src/request/call.rs
+++ b/components/mesh/src/request/call.rs
@@ -16,6 +16,9 @@
 /// Header with the load of the upstream.
 pub const LOAD: HeaderName = HeaderName::from_static("almondknot-load");
 
+/// Header with a [`Notice`](crate::decide::notice::Notice): from a guard about its upstream, and back to it.
+pub const NOTICE: HeaderName = HeaderName::from_static("almondknot-notice");
+
 const EXPECTED: &str = "a call";
 
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -178,7 +181,7 @@
             headers.remove(name);
         }
     }
-    for name in HOP_BY_HOP.iter().chain([&CALL, &OUTCOME, &LOAD, &header::EXPECT]) {
+    for name in HOP_BY_HOP.iter().chain([&CALL, &OUTCOME, &LOAD, &NOTICE, &header::EXPECT]) {
         headers.remove(name);
     }
 }
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -12,6 +12,7 @@
 use super::call::{self, Call, RequestHead};
 use super::outcome::{Fault, Header, Outcome, Refusal, RefusalReason};
 use crate::connection::pool::{PooledConnection, SendError};
+use crate::decide::notice::Notice;
 use crate::decide::queue::Load;
 use crate::platform::Platform;
 use crate::process::events::Event;
@@ -55,7 +56,8 @@
     let node = &target.record.node;
     let in_flight = InFlight::new(shared.clone(), node.clone());
     let timeout = call.remaining(started) + RESPONSE_GRACE;
-    let request = build_request(call.header(started), head, body);
+    let notice = shared.with_peer(node, |peer| peer.notice);
+    let request = build_request(call.header(started), notice, head, body);
     let pool = &shared.peer_pool;
     let answer = pool.send(target.record.address, request, PEER_MAX_IDLE, started);
     let (response, connection) = match tokio::time::timeout(timeout, answer).await {
@@ -77,6 +79,11 @@
     let Some(outcome) = call::parse_header(&head.headers, &call::OUTCOME) else {
         return Outcome::Failed(Fault::Mismatch);
     };
+    let notice: Option<Notice> = call::parse_header(&head.headers, &call::NOTICE);
+    // A node that was restarted knows nothing until its upstream has run a request.
+    if notice.is_some() || outcome == Header::Answer(false) {
+        shared.with_peer(node, |peer| peer.notice = notice);
+    }
     match outcome {
         Header::Answer(not_run) => {
             let resources =
@@ -147,12 +154,20 @@
     }
 }
 
-fn build_request(header: call::Header, head: &RequestHead, body: &Bytes) -> Request<Full<Bytes>> {
+fn build_request(
+    header: call::Header,
+    notice: Option<Notice>,
+    head: &RequestHead,
+    body: &Bytes,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(body.clone()));
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = http::Uri::from(head.path.clone());
     *request.headers_mut() = head.headers.clone();
     call::set_header(request.headers_mut(), call::CALL, header);
+    if let Some(notice) = notice {
+        call::set_header(request.headers_mut(), call::NOTICE, notice);
+    }
     request
 }
 
