Stop sending to an upstream whose answers say that it is leaving

What upstreams saw: one that says in its answers that it is leaving, while its heartbeats don't or can't, went on to get requests from the whole fleet. After a restart of its node it got them again, also where it had announced it before.

Cause: the same class as the rate limit: announcements in answers are not read, and what is known of the upstream is kept in one process.

Change: the guard takes the header of an answer of the current incarnation, of any status, as the announcement that it is; foreign answers, answers of another incarnation and other values change nothing. What guards and entries tell each other of the rate limit, and what a planned stop saves, now includes since when the upstream is leaving, so that a restarted guard neither uses it again nor starts its drain time anew.

--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::meter;
-use super::notice::Notice;
+use super::notice::ReceivedNotice;
 use super::queue::Load;
 
 /// Time for which a node is avoided after its first failure, and the longest; it doubles with each failure.
@@ -67,7 +67,7 @@
     overhead_secs: f64,
     overhead_at: Instant,
     /// What the upstream beside the node announced, of which the node is reminded with each call.
-    pub notice: Option<Notice>,
+    pub notice: Option<ReceivedNotice>,
 }
 
 impl Peer {
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -70,6 +70,9 @@
     /// Requests per second that it accepts, if it announced a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rate_limit: Option<f64>,
+    /// Milliseconds since the epoch when it announced that it is leaving.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub leaving_ms: Option<u64>,
     /// Milliseconds since the epoch when the node was stopped.
     #[serde(rename = "at")]
     pub stopped_ms: u64,
--- a/components/mesh/src/decide/notice.rs
+++ b/components/mesh/src/decide/notice.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::str;
+use std::time::{Duration, Instant};
 
 use units::{ParseError, Rate};
 
@@ -15,12 +16,37 @@
     pub incarnation: u64,
     /// Requests per second that it accepts from all callers together.
     pub rate_limit: Option<Rate>,
+    /// How long ago it announced that it is leaving.
+    pub leaving: Option<Duration>,
+}
+
+/// A notice as it was when it was received.
+#[derive(Debug, Clone, Copy)]
+pub struct ReceivedNotice {
+    notice: Notice,
+    at: Instant,
+}
+
+impl ReceivedNotice {
+    /// A notice received at `at`.
+    pub fn new(notice: Notice, at: Instant) -> Self {
+        Self { notice, at }
+    }
+
+    /// The notice as it is now.
+    pub fn aged(&self, now: Instant) -> Notice {
+        let passed = now.saturating_duration_since(self.at);
+        Notice { leaving: self.notice.leaving.map(|age| age + passed), ..self.notice }
+    }
 }
 
 impl fmt::Display for Notice {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "{:x};", self.incarnation)?;
-        self.rate_limit.map_or(Ok(()), |rate| rate.fmt(out))
+        if let Some(rate) = self.rate_limit {
+            write!(out, "{rate}")?;
+        }
+        self.leaving.map_or(Ok(()), |age| write!(out, ";{}", age.as_millis()))
     }
 }
 
@@ -38,5 +64,9 @@
         "" => None,
         rate => Some(rate.parse().ok()?),
     };
-    parts.next().is_none().then_some(Notice { incarnation, rate_limit })
+    let leaving = match parts.next() {
+        None => None,
+        Some(age_ms) => Some(Duration::from_millis(age_ms.parse().ok()?)),
+    };
+    parts.next().is_none().then_some(Notice { incarnation, rate_limit, leaving })
 }
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -50,6 +50,8 @@
     pub not_run: HeaderName,
     /// Requests per second that an upstream accepts, in answers while it limits them.
     pub rate_limit: HeaderName,
+    /// Set by an upstream that is leaving.
+    pub leaving: HeaderName,
 }
 
 /// State that an upstream announces.
--- a/components/mesh/src/process/announced.rs
+++ b/components/mesh/src/process/announced.rs
@@ -1,18 +1,23 @@
-//! What the upstream announces in its answers: a rate limit.
+//! What the upstream announces in its answers: a rate limit, and that it is leaving.
 //!
-//! Only this node reaches the upstream, so it applies the limit to the requests of all nodes. Entries remember it as a
-//! [`Notice`] and remind this node of it after a restart.
+//! Only this node reaches the upstream, so it applies both to the requests of all nodes. Entries remember them as a
+//! [`Notice`] and remind this node of them after a restart.
 
 use std::time::Instant;
 
 use http::{HeaderMap, StatusCode, response};
 use units::Rate;
 
+use super::control;
 use super::events::Event;
 use super::shared::{Shared, lock};
+use crate::decide::members::UpstreamState;
 use crate::decide::notice::Notice;
 use crate::decide::rate_limit::{Announced, Answer};
-use crate::platform::{Heartbeat, Platform};
+use crate::platform::{Announcement, Heartbeat, Platform};
+
+/// Value of the header of an upstream that is leaving.
+const LEAVING: &str = "1";
 
 /// Records what an answer to a request announces that was sent at `sent_at`.
 pub fn record_answer<P: Platform>(
@@ -33,14 +38,27 @@
     let answer = Answer { announced, sent_at, ran };
     let (before, after) = shared.limiter.record_answer(answer, shared.now());
     rate_limit_changed(shared, &upstream.id, before, after, "answer");
+    if is_leaving(shared, &head.headers) {
+        control::announce(shared, Announcement::Leave { id: upstream.id.clone() }, "answer");
+    }
 }
 
 /// Applies what another node or the store remembers of the upstream, if it is about the current incarnation.
 pub fn apply_notice<P: Platform>(shared: &Shared<P>, notice: &Notice, from: &str) {
-    let current = lock(&shared.upstream).last_heartbeat().cloned();
-    let Some(heartbeat) = current.filter(|known| known.incarnation() == notice.incarnation) else {
-        return;
+    let (heartbeat, left) = {
+        let mut upstream = lock(&shared.upstream);
+        let current = upstream.last_heartbeat().cloned();
+        let Some(current) = current.filter(|known| known.incarnation() == notice.incarnation)
+        else {
+            return;
+        };
+        let now = shared.moment();
+        let left = notice.leaving.is_some_and(|age| upstream.leave_since(age, now));
+        (current, left)
     };
+    if left {
+        control::upstream_changed(shared, &heartbeat, UpstreamState::Leaving, false, from);
+    }
     if let Some(limit) = notice.rate_limit
         && shared.limiter.restore_rate_limit(limit, shared.now())
     {
@@ -57,9 +75,12 @@
 
 /// What the current incarnation has announced; `None` if nothing restricts it.
 pub fn notice<P: Platform>(shared: &Shared<P>) -> Option<Notice> {
-    let rate_limit = Some(shared.limiter.announced_limit()?);
-    let incarnation = lock(&shared.upstream).last_heartbeat()?.incarnation();
-    Some(Notice { incarnation, rate_limit })
+    let rate_limit = shared.limiter.announced_limit();
+    let upstream = lock(&shared.upstream);
+    let leaving = upstream.leaving_for(shared.moment());
+    let incarnation = upstream.last_heartbeat()?.incarnation();
+    let restricted = rate_limit.is_some() || leaving.is_some();
+    restricted.then_some(Notice { incarnation, rate_limit, leaving })
 }
 
 /// The announced limit; the lowest if there are several.
@@ -84,6 +105,19 @@
     }
 }
 
+fn is_leaving<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> bool {
+    let name = &shared.platform.headers().leaving;
+    let mut leaving = false;
+    for value in headers.get_all(name) {
+        if value.to_str().is_ok_and(|text| text.trim() == LEAVING) {
+            leaving = true;
+        } else {
+            shared.metrics.upstream.invalid_headers.with_label_values(&[name.as_str()]).inc();
+        }
+    }
+    leaving
+}
+
 fn rate_limit_changed<P: Platform>(
     shared: &Shared<P>,
     id: &str,
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -145,7 +145,7 @@
         shared.publish_upstream();
         let record = {
             let rate_limit = shared.limiter.announced_limit();
-            let saved = lock(&shared.upstream).saved_state(shared.wall_ms(), rate_limit);
+            let saved = lock(&shared.upstream).saved_state(shared.moment(), rate_limit);
             lock(&shared.members)
                 .own()
                 .map(|own| Record { saved_upstream: saved, ..own.record.clone() })
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -9,7 +9,7 @@
 use super::events::Event;
 use super::shared::{Shared, lock};
 use super::{announced, control};
-use crate::decide::members::{MemberUpdate, Record, SavedUpstream, UpstreamState};
+use crate::decide::members::{MemberUpdate, Record, SavedUpstream};
 use crate::decide::notice::Notice;
 use crate::platform::{AnnouncedState, Heartbeat, Platform, StoreError};
 
@@ -127,9 +127,8 @@
     let recent = saved.filter(|saved| {
         shared.wall_ms().saturating_sub(saved.stopped_ms) < SAVED_STATE_MAX_AGE.as_millis() as u64
     });
-    let Some(SavedUpstream { id, started_ms, slots, sequence, rate_limit, .. }) = recent else {
-        return;
-    };
+    let Some(saved) = recent else { return };
+    let SavedUpstream { id, started_ms, slots, sequence, rate_limit, leaving_ms, .. } = saved;
     let heartbeat = Heartbeat {
         id,
         started_ms,
@@ -140,10 +139,20 @@
         state: AnnouncedState::Ready,
         warmup: Duration::ZERO,
     };
-    let notice = Notice { incarnation: heartbeat.incarnation(), rate_limit: rate_limit.map(Rate) };
-    let restored = lock(&shared.upstream).resume(heartbeat.clone(), shared.moment());
+    let now = shared.moment();
+    let leaving = leaving_ms.map(|since| Duration::from_millis(now.wall_ms.saturating_sub(since)));
+    let (incarnation, rate_limit) = (heartbeat.incarnation(), rate_limit.map(Rate));
+    let notice = Notice { incarnation, rate_limit, leaving };
+    let (restored, state) = {
+        let mut upstream = lock(&shared.upstream);
+        let restored = upstream.resume(heartbeat.clone(), now);
+        if let Some(age) = leaving.filter(|_| restored) {
+            upstream.leave_since(age, now);
+        }
+        (restored, upstream.state())
+    };
     if restored {
-        control::upstream_changed(shared, &heartbeat, UpstreamState::Ready, true, "store");
+        control::upstream_changed(shared, &heartbeat, state, true, "store");
     }
     // A heartbeat may have come first, but it tells nothing of this.
     announced::apply_notice(shared, &notice, "store");
--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -27,6 +27,15 @@
         let monotonic = self.monotonic.saturating_duration_since(earlier.monotonic);
         monotonic.max(Duration::from_millis(self.wall_ms.saturating_sub(earlier.wall_ms)))
     }
+
+    /// The point in time `age` before this one.
+    pub fn earlier(self, age: Duration) -> Self {
+        Self {
+            // The monotonic clock may not reach back as far; the wall clock does.
+            monotonic: self.monotonic.checked_sub(age).unwrap_or(self.monotonic),
+            wall_ms: self.wall_ms.saturating_sub(age.as_millis() as u64),
+        }
+    }
 }
 
 /// Effect of an announcement.
@@ -84,17 +93,32 @@
         unknown
     }
 
-    /// The state to save for the next incarnation of the node; `None` if the upstream is unknown or leaving.
-    pub fn saved_state(&self, stopped_ms: u64, rate_limit: Option<Rate>) -> Option<SavedUpstream> {
+    /// Records that the upstream announced some time ago that it is leaving; false if that was known.
+    pub fn leave_since(&mut self, age: Duration, now: Moment) -> bool {
+        if self.leaving_since.is_some_and(|since| now.since(since) >= age) {
+            return false;
+        }
+        self.leaving_since = Some(now.earlier(age));
+        true
+    }
+
+    /// Time since the upstream announced that it is leaving.
+    pub fn leaving_for(&self, now: Moment) -> Option<Duration> {
+        self.leaving_since.map(|since| now.since(since))
+    }
+
+    /// The state to save for the next incarnation of the node; `None` if the upstream is unknown.
+    pub fn saved_state(&self, now: Moment, rate_limit: Option<Rate>) -> Option<SavedUpstream> {
         let Heartbeat { id, started_ms, slots, sequence, .. } = self.heartbeat.as_ref()?;
-        let (id, started_ms, slots, sequence) = (id.clone(), *started_ms, *slots, *sequence);
-        self.leaving_since.is_none().then_some(SavedUpstream {
-            id,
-            started_ms,
-            slots,
-            sequence,
+        let leaving_for = self.leaving_for(now);
+        Some(SavedUpstream {
+            id: id.clone(),
+            started_ms: *started_ms,
+            slots: *slots,
+            sequence: *sequence,
             rate_limit: rate_limit.map(|rate| rate.0),
-            stopped_ms,
+            leaving_ms: leaving_for.map(|age| now.wall_ms.saturating_sub(age.as_millis() as u64)),
+            stopped_ms: now.wall_ms,
         })
     }
 
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -1,10 +1,10 @@
 //! Entry side of a call that is sent to another node.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, response};
+use http::{HeaderMap, Request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -12,7 +12,7 @@
 use super::call::{self, Call, RequestHead};
 use super::outcome::{Fault, Header, Outcome, Refusal, RefusalReason};
 use crate::connection::pool::{PooledConnection, SendError};
-use crate::decide::notice::Notice;
+use crate::decide::notice::{Notice, ReceivedNotice};
 use crate::decide::queue::Load;
 use crate::platform::Platform;
 use crate::process::events::Event;
@@ -56,7 +56,7 @@
     let node = &target.record.node;
     let in_flight = InFlight::new(shared.clone(), node.clone());
     let timeout = call.remaining(started) + RESPONSE_GRACE;
-    let notice = shared.with_peer(node, |peer| peer.notice);
+    let notice = shared.with_peer(node, |peer| peer.notice.map(|notice| notice.aged(started)));
     let request = build_request(call.header(started), notice, head, body);
     let pool = &shared.peer_pool;
     let answer = pool.send(target.record.address, request, PEER_MAX_IDLE, started);
@@ -67,23 +67,9 @@
     };
     let (head, incoming) = response.into_parts();
     let answered = shared.now();
-    shared.with_peer(node, |peer| {
-        peer.record_answer(answered);
-        if let Some(LoadReport { load, guard_time }) =
-            call::parse_header(&head.headers, &call::LOAD)
-        {
-            peer.record_report(load, answered);
-            peer.record_overhead(answered.saturating_duration_since(started), guard_time, answered);
-        }
-    });
-    let Some(outcome) = call::parse_header(&head.headers, &call::OUTCOME) else {
-        return Outcome::Failed(Fault::Mismatch);
-    };
-    let notice: Option<Notice> = call::parse_header(&head.headers, &call::NOTICE);
-    // A node that was restarted knows nothing until its upstream has run a request.
-    if notice.is_some() || outcome == Header::Answer(false) {
-        shared.with_peer(node, |peer| peer.notice = notice);
-    }
+    let outcome: Option<Header> = call::parse_header(&head.headers, &call::OUTCOME);
+    record_answer(shared, node, &head.headers, outcome, started);
+    let Some(outcome) = outcome else { return Outcome::Failed(Fault::Mismatch) };
     match outcome {
         Header::Answer(not_run) => {
             let resources =
@@ -103,6 +89,31 @@
     }
 }
 
+/// Records what an answer to a request that was sent at `started` tells of the node and its upstream.
+fn record_answer<P: Platform>(
+    shared: &Shared<P>,
+    node: &Arc<str>,
+    headers: &HeaderMap,
+    outcome: Option<Header>,
+    started: Instant,
+) {
+    let now = shared.now();
+    let report: Option<LoadReport> = call::parse_header(headers, &call::LOAD);
+    let notice: Option<Notice> = call::parse_header(headers, &call::NOTICE);
+    let notice = notice.map(|notice| ReceivedNotice::new(notice, now));
+    shared.with_peer(node, |peer| {
+        peer.record_answer(now);
+        if let Some(LoadReport { load, guard_time }) = report {
+            peer.record_report(load, now);
+            peer.record_overhead(now.saturating_duration_since(started), guard_time, now);
+        }
+        // A node that was restarted knows nothing until its upstream has run a request.
+        if notice.is_some() || outcome == Some(Header::Answer(false)) {
+            peer.notice = notice;
+        }
+    });
+}
+
 async fn read_response<P: Platform>(
     shared: &Arc<Shared<P>>,
     node: &Arc<str>,
