End a streamed answer at the deadline of its request

What callers saw: an upstream that sends a body without end kept a slot, its connection and the connection between two nodes until the caller closed its own.

Cause: a response over 128 KiB is passed on while it arrives, and from then on nothing bounded its time. Heads, interim answers and trailers without end were bounded already (64 KiB, the deadline).

Change: what a streamed body holds is released at the deadline that the upstream was given, even if the reader has stalled and doesn't poll the body; the connection to the caller is closed without the end of the body, so that it can't be taken for complete. A long answer that ends in time is untouched. The guard logs it.

--- a/components/mesh/src/request/body.rs
+++ b/components/mesh/src/request/body.rs
@@ -1,19 +1,25 @@
 //! Request and response bodies. Requests are buffered so that they can be sent again; responses are buffered unless
 //! they are large.
+//!
+//! A large response is streamed until its deadline. What it holds is released then even if its reader has stalled.
 
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::sync::{Arc, Mutex, Weak};
+use std::task::{Context, Poll, Waker};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use quick_error::quick_error;
 
 use super::guard::HeldSlot;
 use super::peer::InFlight;
 use crate::connection::pool::PooledConnection;
 use crate::platform::Platform;
+use crate::process::shared::lock;
 
 /// Largest response that is buffered before it is passed on.
 const MAX_BUFFERED_BYTES: usize = 128 << 10;
@@ -28,6 +34,31 @@
     pub connection: Option<PooledConnection>,
 }
 
+quick_error! {
+    /// Why a response body ended early.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// The connection failed.
+        Transport(err: hyper::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The body did not end before its deadline.
+        Expired {
+            display("the body did not end in time")
+        }
+    }
+}
+
+/// A response that is being streamed.
+pub struct OpenStream<P: Platform> {
+    rest: Incoming,
+    resources: Resources<P>,
+    /// Task that waits for the next frame.
+    reader: Option<Waker>,
+}
+
 /// Body of a response.
 pub enum Payload<P: Platform> {
     /// Buffered in memory.
@@ -36,10 +67,10 @@
     Stream {
         /// Data read before the body turned out to be large.
         first: Option<Bytes>,
-        /// Rest of the body.
-        rest: Incoming,
-        /// Released when the body ends.
-        resources: Option<Box<Resources<P>>>,
+        /// Rest of the body; none once it has ended or expired.
+        open: Arc<Mutex<Option<OpenStream<P>>>>,
+        /// Whether the body is complete.
+        ended: bool,
     },
 }
 
@@ -57,11 +88,13 @@
         response
     }
 
-    /// Reads a response body; returns `resources` if it was read completely, otherwise the body holds them.
+    /// Reads a response body; returns `resources` if it was read completely, otherwise the body holds them, until
+    /// `deadline` at the latest.
     pub async fn read(
         mut rest: Incoming,
         mut resources: Resources<P>,
-    ) -> Result<(Self, Option<Resources<P>>), hyper::Error> {
+        deadline: Instant,
+    ) -> Result<(Self, Option<Resources<P>>), BodyError> {
         let mut buffered = BytesMut::new();
         if rest.size_hint().lower() <= MAX_BUFFERED_BYTES as u64 {
             while let Some(frame) = rest.frame().await {
@@ -73,10 +106,7 @@
                 }
                 if buffered.len() > MAX_BUFFERED_BYTES {
                     let first = Some(buffered.freeze());
-                    return Ok((
-                        Self::Stream { first, rest, resources: Some(Box::new(resources)) },
-                        None,
-                    ));
+                    return Ok((Self::stream(first, rest, resources, deadline), None));
                 }
             }
             return Ok((Self::buffered(buffered.freeze()), Some(resources)));
@@ -84,30 +114,64 @@
         if let Some(slot) = &mut resources.slot {
             slot.complete = true;
         }
-        Ok((Self::Stream { first: None, rest, resources: Some(Box::new(resources)) }, None))
+        Ok((Self::stream(None, rest, resources, deadline), None))
+    }
+
+    fn stream(
+        first: Option<Bytes>,
+        rest: Incoming,
+        resources: Resources<P>,
+        deadline: Instant,
+    ) -> Self {
+        let open = Arc::new(Mutex::new(Some(OpenStream { rest, resources, reader: None })));
+        tokio::spawn(expire(Arc::downgrade(&open), deadline));
+        Self::Stream { first, open, ended: false }
+    }
+}
+
+/// Ends a stream at its deadline. The body itself isn't polled while its reader stalls.
+async fn expire<P: Platform>(open: Weak<Mutex<Option<OpenStream<P>>>>, deadline: Instant) {
+    tokio::time::sleep_until(deadline.into()).await;
+    let Some(open) = open.upgrade() else { return };
+    let Some(expired) = lock(&open).take() else { return };
+    if let Some(slot) = &expired.resources.slot {
+        slot.log_expired();
+    }
+    if let Some(reader) = expired.reader {
+        reader.wake();
     }
 }
 
 impl<P: Platform> Body for Payload<P> {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match &mut *self {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream { first, rest, resources } => {
+            Self::Stream { ended: true, .. } => Poll::Ready(None),
+            Self::Stream { first, open, ended } => {
                 if let Some(first) = first.take() {
                     return Poll::Ready(Some(Ok(Frame::data(first))));
                 }
-                let frame = ready!(Pin::new(rest).poll_frame(cx));
+                let mut open = lock(open);
+                let Some(stream) = open.as_mut() else {
+                    *ended = true;
+                    return Poll::Ready(Some(Err(BodyError::Expired)));
+                };
+                let Poll::Ready(frame) = Pin::new(&mut stream.rest).poll_frame(cx) else {
+                    stream.reader = Some(cx.waker().clone());
+                    return Poll::Pending;
+                };
                 if frame.as_ref().is_none_or(|frame| frame.is_err()) {
                     // The connection of a streamed response is not reused.
-                    *resources = None;
+                    *ended = true;
+                    *open = None;
                 }
-                Poll::Ready(frame)
+                Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
             }
         }
     }
@@ -115,7 +179,11 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_none(),
-            Self::Stream { first, rest, .. } => first.is_none() && rest.is_end_stream(),
+            Self::Stream { ended: true, .. } => true,
+            Self::Stream { first, open, .. } => {
+                first.is_none()
+                    && lock(open).as_ref().is_some_and(|stream| stream.rest.is_end_stream())
+            }
         }
     }
 
@@ -124,13 +192,15 @@
             Self::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            Self::Stream { first: None, rest, .. } => rest.size_hint(),
-            Self::Stream { first: Some(first), rest, .. } => {
-                let hint = rest.size_hint();
+            Self::Stream { first, open, .. } => {
+                let Some(hint) = lock(open).as_ref().map(|stream| stream.rest.size_hint()) else {
+                    return SizeHint::new();
+                };
+                let first = first.as_ref().map_or(0, Bytes::len) as u64;
                 let mut total = SizeHint::new();
-                total.set_lower(hint.lower() + first.len() as u64);
+                total.set_lower(hint.lower() + first);
                 if let Some(upper) = hint.upper() {
-                    total.set_upper(upper + first.len() as u64);
+                    total.set_upper(upper + first);
                 }
                 total
             }
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use http::header;
-use http::{Request, Response, response};
+use http::{HeaderValue, Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use quarantine::Fingerprint;
 
-use super::body::{Payload, Resources};
+use super::body::{BodyError, Payload, Resources};
 use super::call::{self, Call, RequestHead};
 use super::outcome::{Fault, Outcome, Refusal, RefusalReason};
 use crate::connection::pool::{PooledConnection, SendError};
@@ -44,6 +44,34 @@
     pub complete: bool,
     /// Whether the call was sent to the upstream.
     sent: bool,
+    /// Id of the request.
+    id: HeaderValue,
+}
+
+impl<P: Platform> HeldSlot<P> {
+    fn new(
+        shared: &Arc<Shared<P>>,
+        call: &Call,
+        head: &RequestHead,
+        key: parents::Key,
+        started: Instant,
+    ) -> Self {
+        let (route, id) = (call.root.route.clone(), head.id.clone());
+        Self { shared: shared.clone(), route, started, key, complete: false, sent: false, id }
+    }
+
+    /// Logs that the response was still being sent at its deadline.
+    pub fn log_expired(&self) {
+        let shared = &self.shared;
+        let upstream = lock(&shared.upstream).last_heartbeat().map(|known| known.id.clone());
+        shared.log(&Event::UpstreamFailed {
+            id: self.id.to_str().unwrap_or_default(),
+            upstream: &upstream.unwrap_or_default(),
+            reason: &BodyError::Expired.to_string(),
+            after_ms: shared.now().saturating_duration_since(self.started).as_millis() as u64,
+        });
+        shared.metrics.guard_errors.with_label_values(&["late"]).inc();
+    }
 }
 
 impl<P: Platform> Drop for HeldSlot<P> {
@@ -84,9 +112,7 @@
         let mut parents = lock(&shared.parents);
         parents.add(call.remaining(now), now, call.root.clone(), call.internal)
     };
-    let route = call.root.route.clone();
-    let mut slot =
-        HeldSlot { shared: shared.clone(), route, started: now, key, complete: false, sent: false };
+    let mut slot = HeldSlot::new(shared, call, head, key, now);
     // The upstream may have started to leave while the call waited.
     let upstream = match accepting_upstream(shared, call) {
         Ok(upstream) if left >= MIN_RUN_TIME => upstream,
@@ -98,12 +124,12 @@
     slot.sent = true;
     let max_idle = if call.idempotent { MAX_IDLE } else { MAX_IDLE_UNSAFE };
     let answer = shared.upstream_pool.send(shared.settings.upstream, request, max_idle, now);
-    let result = match tokio::time::timeout(left + RESPONSE_GRACE, answer).await {
-        Ok(Ok((response, connection))) => {
-            let remaining =
-                (left + RESPONSE_GRACE).saturating_sub(shared.now().saturating_duration_since(now));
-            let read = read_response(shared, head, &upstream, response, connection, slot);
-            tokio::time::timeout(remaining, read).await.unwrap_or(Err(RunError::Timeout))
+    let deadline = now + left + RESPONSE_GRACE;
+    let answer = tokio::time::timeout_at(deadline.into(), answer);
+    let result = match answer.await {
+        Ok(Ok(answer)) => {
+            let read = read_response(shared, head, &upstream, answer, slot, deadline);
+            tokio::time::timeout_at(deadline.into(), read).await.unwrap_or(Err(RunError::Timeout))
         }
         Ok(Err(SendError::NotSent(reason))) => Err(RunError::NotSent(reason)),
         Ok(Err(SendError::ConnectionLost(reason))) => Err(RunError::ConnectionLost(reason)),
@@ -200,9 +226,9 @@
     shared: &Arc<Shared<P>>,
     head: &RequestHead,
     upstream: &Heartbeat,
-    response: Response<Incoming>,
-    connection: PooledConnection,
+    (response, connection): (Response<Incoming>, PooledConnection),
     mut slot: HeldSlot<P>,
+    deadline: Instant,
 ) -> Result<Outcome<P>, RunError> {
     let names = shared.platform.headers();
     let (mut parts, incoming) = response.into_parts();
@@ -219,7 +245,7 @@
     slot.complete = !not_run && !parts.status.is_server_error();
     let reusable = !closes_connection(&parts);
     let resources = Resources { slot: Some(slot), in_flight: None, connection: Some(connection) };
-    let (body, resources) = Payload::read(incoming, resources)
+    let (body, resources) = Payload::read(incoming, resources, deadline)
         .await
         .map_err(|err| RunError::ConnectionLost(err.to_string()))?;
     if let Some(Resources { connection: Some(connection), .. }) = resources
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -55,18 +55,17 @@
     let started = shared.now();
     let node = &target.record.node;
     let in_flight = InFlight::new(shared.clone(), node.clone());
-    let timeout = call.remaining(started) + RESPONSE_GRACE;
+    let deadline = call.deadline.max(started) + RESPONSE_GRACE;
     let notice = shared.with_peer(node, |peer| peer.notice.map(|notice| notice.aged(started)));
     let request = build_request(call.header(started), notice, head, body);
     let pool = &shared.peer_pool;
     let answer = pool.send(target.record.address, request, PEER_MAX_IDLE, started);
-    let (response, connection) = match tokio::time::timeout(timeout, answer).await {
+    let (response, connection) = match tokio::time::timeout_at(deadline.into(), answer).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(err)) => return connection_failed(shared, node, &err),
         Err(_) => return Outcome::Failed(Fault::Timeout),
     };
     let (head, incoming) = response.into_parts();
-    let answered = shared.now();
     let outcome: Option<Header> = call::parse_header(&head.headers, &call::OUTCOME);
     record_answer(shared, node, &head.headers, outcome, started);
     let Some(outcome) = outcome else { return Outcome::Failed(Fault::Mismatch) };
@@ -74,16 +73,20 @@
         Header::Answer(not_run) => {
             let resources =
                 Resources { slot: None, in_flight: Some(in_flight), connection: Some(connection) };
-            let remaining = timeout.saturating_sub(answered.saturating_duration_since(started));
-            let read = read_response(shared, node, head, incoming, resources, not_run);
-            tokio::time::timeout(remaining, read).await.unwrap_or(Outcome::Failed(Fault::Timeout))
+            let read = read_response(shared, node, head, incoming, resources, deadline);
+            let read = tokio::time::timeout_at(deadline.into(), read);
+            match read.await {
+                Ok(Some((head, body))) => Outcome::Answer { head, body, not_run },
+                Ok(None) => Outcome::Failed(Fault::ConnectionLost),
+                Err(_) => Outcome::Failed(Fault::Timeout),
+            }
         }
         Header::Refused(refusal) => {
-            drain(shared, incoming, connection).await;
+            drain(shared, incoming, connection, deadline).await;
             Outcome::Refused(refusal)
         }
         Header::Failed(fault) => {
-            drain(shared, incoming, connection).await;
+            drain(shared, incoming, connection, deadline).await;
             Outcome::Failed(fault)
         }
     }
@@ -114,25 +117,26 @@
     });
 }
 
+/// Reads the response of an upstream; `None` if the connection is lost.
 async fn read_response<P: Platform>(
     shared: &Arc<Shared<P>>,
     node: &Arc<str>,
     mut head: response::Parts,
     incoming: Incoming,
     resources: Resources<P>,
-    not_run: bool,
-) -> Outcome<P> {
-    match Payload::read(incoming, resources).await {
+    deadline: Instant,
+) -> Option<(Box<response::Parts>, Payload<P>)> {
+    match Payload::read(incoming, resources, deadline).await {
         Ok((body, resources)) => {
             if let Some(connection) = resources.and_then(|resources| resources.connection) {
                 connection.release(shared.now());
             }
             call::strip_headers(&mut head.headers);
-            Outcome::Answer { head: Box::new(head), body, not_run }
+            Some((Box::new(head), body))
         }
         Err(err) => {
             shared.log(&Event::PeerLost { peer: node, reason: &err.to_string() });
-            Outcome::Failed(Fault::ConnectionLost)
+            None
         }
     }
 }
@@ -142,10 +146,11 @@
     shared: &Arc<Shared<P>>,
     incoming: Incoming,
     connection: PooledConnection,
+    deadline: Instant,
 ) {
     let resources = Resources::<P> { slot: None, in_flight: None, connection: Some(connection) };
     if let Ok((_, Some(Resources { connection: Some(connection), .. }))) =
-        Payload::read(incoming, resources).await
+        Payload::read(incoming, resources, deadline).await
     {
         connection.release(shared.now());
     }
