Remember an acknowledged departure of an upstream that is not known yet

The node had been restarted half a second before, while the store was silent, and knew nothing of its upstream.

Cause: a node answers 200 to a leave message, or to a draining heartbeat, of an incarnation that it doesn't know, and forgets it. A delayed heartbeat of that incarnation, sent while it was ready, then counts as its start. Two more ways to the same state: an earlier incarnation that was leaving comes back while its successor is silent, and a late leave message takes the next incarnation of the same id out of use.

Change: departures of incarnations other than the current one are remembered with their start time (the last eight) and applied when such an incarnation is announced. Leave messages carry the start time where the upstream gives it.

--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -100,6 +100,8 @@
     Leave {
         /// Id of the upstream's incarnation.
         id: String,
+        /// Start time in milliseconds since the epoch, if it is given.
+        started_ms: Option<u64>,
     },
 }
 
--- a/components/mesh/src/process/announced.rs
+++ b/components/mesh/src/process/announced.rs
@@ -39,7 +39,8 @@
     let (before, after) = shared.limiter.record_answer(answer, shared.now());
     rate_limit_changed(shared, &upstream.id, before, after, "answer");
     if is_leaving(shared, &head.headers) {
-        control::announce(shared, Announcement::Leave { id: upstream.id.clone() }, "answer");
+        let (id, started_ms) = (upstream.id.clone(), Some(upstream.started_ms));
+        control::announce(shared, Announcement::Leave { id, started_ms }, "answer");
     }
 }
 
--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -1,5 +1,6 @@
 //! State of the upstream beside this node, from its announcements.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use units::Rate;
@@ -9,6 +10,8 @@
 
 /// Missed heartbeats after which a different incarnation is accepted even if it started earlier.
 const MISSED_HEARTBEATS: u32 = 3;
+/// Departures of other incarnations that are remembered.
+const MAX_DEPARTURES: usize = 8;
 /// Part of the drain time kept back for requests already on their way to the upstream.
 const DRAIN_RESERVE: Duration = Duration::from_millis(700);
 
@@ -51,12 +54,23 @@
     Updated,
 }
 
+/// An incarnation, not the current one, that announced that it is leaving.
+#[derive(Debug)]
+struct Departure {
+    id: String,
+    /// Start time; any incarnation of that id that started later is another one.
+    started_ms: u64,
+    since: Moment,
+}
+
 /// What is known of the upstream.
 #[derive(Debug)]
 pub struct Upstream {
     heartbeat: Option<Heartbeat>,
     heard_at: Instant,
     leaving_since: Option<Moment>,
+    /// The latest departures, oldest first.
+    departures: VecDeque<Departure>,
     interval: Duration,
     /// Time for which it still gets requests after it announced that it is leaving.
     drain: Duration,
@@ -67,18 +81,21 @@
     /// leave.
     pub fn new(interval: Duration, drain: Duration, now: Instant) -> Self {
         let drain = drain.saturating_sub(DRAIN_RESERVE);
-        Self { heartbeat: None, heard_at: now, leaving_since: None, interval, drain }
+        let departures = VecDeque::new();
+        Self { heartbeat: None, heard_at: now, leaving_since: None, departures, interval, drain }
     }
 
     /// Applies an announcement.
     pub fn apply(&mut self, announcement: Announcement, now: Moment) -> Change {
         match announcement {
             Announcement::Heartbeat(heartbeat) => self.apply_heartbeat(heartbeat, now),
-            Announcement::Leave { id } => {
-                if self.heartbeat.as_ref().is_none_or(|known| known.id != id) {
-                    return Change::Stale;
+            Announcement::Leave { id, started_ms } => {
+                let known = self.heartbeat.as_ref().filter(|known| known.id == id);
+                if known.is_some_and(|known| started_ms.is_none_or(|ms| known.started_ms <= ms)) {
+                    return self.leave(now);
                 }
-                self.leave(now)
+                self.record_departure(id, started_ms.unwrap_or(now.wall_ms), now);
+                Change::Stale
             }
         }
     }
@@ -148,11 +165,13 @@
             let silent = now.monotonic.saturating_duration_since(self.heard_at)
                 > self.interval * MISSED_HEARTBEATS;
             let later = heartbeat.started_ms > known.started_ms;
-            return if later || silent {
-                self.start_incarnation(heartbeat, now)
-            } else {
-                Change::Stale
-            };
+            if later || silent {
+                return self.start_incarnation(heartbeat, now);
+            }
+            if heartbeat.state == AnnouncedState::Draining {
+                self.record_departure(heartbeat.id, heartbeat.started_ms, now);
+            }
+            return Change::Stale;
         }
         if heartbeat.sequence <= known.sequence {
             return Change::Stale;
@@ -168,12 +187,27 @@
     }
 
     fn start_incarnation(&mut self, heartbeat: Heartbeat, now: Moment) -> Change {
+        if let (Some(known), Some(since)) = (self.heartbeat.take(), self.leaving_since) {
+            self.record_departure(known.id, known.started_ms, since);
+        }
         self.heard_at = now.monotonic;
-        self.leaving_since = (heartbeat.state == AnnouncedState::Draining).then_some(now);
+        let departed = self.departures.iter().find(|departure| {
+            departure.id == heartbeat.id && heartbeat.started_ms <= departure.started_ms
+        });
+        let draining = heartbeat.state == AnnouncedState::Draining;
+        self.leaving_since = departed.map(|departed| departed.since).or(draining.then_some(now));
         self.heartbeat = Some(heartbeat);
         Change::Started
     }
 
+    /// Remembers an acknowledged departure, as a late heartbeat of that incarnation may still arrive.
+    fn record_departure(&mut self, id: String, started_ms: u64, since: Moment) {
+        if self.departures.len() == MAX_DEPARTURES {
+            self.departures.pop_front();
+        }
+        self.departures.push_back(Departure { id, started_ms, since });
+    }
+
     fn leave(&mut self, now: Moment) -> Change {
         if self.leaving_since.is_some() {
             return Change::None;
--- a/components/mesh/tests/upstream.rs
+++ b/components/mesh/tests/upstream.rs
@@ -29,6 +29,10 @@
     })
 }
 
+fn leave(id: &str, started_ms: Option<u64>) -> Announcement {
+    Announcement::Leave { id: id.to_owned(), started_ms }
+}
+
 #[gtest]
 fn no_request_is_sent_before_the_first_announcement() {
     let now = Instant::now();
@@ -60,10 +64,9 @@
     let now = Instant::now();
     let mut upstream = Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now);
     upstream.apply(heartbeat("i", 10, 1, AnnouncedState::Ready), at(now));
-    let other = Announcement::Leave { id: "j".to_owned() };
+    let other = leave("j", None);
     expect_that!(upstream.apply(other, at(now)), eq(Change::Stale));
-    let leave = Announcement::Leave { id: "i".to_owned() };
-    expect_that!(upstream.apply(leave, at(now)), eq(Change::Updated));
+    expect_that!(upstream.apply(leave("i", None), at(now)), eq(Change::Updated));
     expect_that!(upstream.state(), eq(UpstreamState::Leaving));
 }
 
@@ -119,3 +122,46 @@
     let late = Moment { monotonic: now + Duration::from_secs(1), wall_ms: 900_000 };
     expect_that!(upstream.accepting(late), none());
 }
+
+/// Guards against a restarted node that acknowledges that its upstream leaves, and then takes a late heartbeat for a start.
+#[gtest]
+fn an_unknown_upstream_that_has_left_is_not_used_after_a_late_heartbeat() {
+    for started_ms in [None, Some(10)] {
+        let now = Instant::now();
+        let mut upstream = Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now);
+        upstream.apply(leave("i", started_ms), at(now));
+        let later = now + Duration::from_secs(1);
+        upstream.apply(heartbeat("i", 10, 7, AnnouncedState::Ready), at(later));
+        expect_that!(upstream.state(), eq(UpstreamState::Leaving));
+        expect_that!(upstream.accepting(at(later)), none());
+    }
+}
+
+/// Guards against an earlier incarnation that was leaving and is used again once its successor is silent.
+#[gtest]
+fn an_incarnation_that_has_left_is_not_used_after_its_successor_is_silent() {
+    let now = Instant::now();
+    for known in [AnnouncedState::Ready, AnnouncedState::Draining] {
+        let mut upstream = Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now);
+        upstream.apply(heartbeat("old", 10, 1, known), at(now));
+        upstream.apply(heartbeat("new", 20, 1, AnnouncedState::Ready), at(now));
+        upstream.apply(heartbeat("old", 10, 2, AnnouncedState::Draining), at(now));
+        let later = now + HEARTBEAT_INTERVAL * 4;
+        upstream.apply(heartbeat("old", 10, 3, AnnouncedState::Ready), at(later));
+        expect_that!(upstream.accepting(at(later)), none());
+    }
+}
+
+/// Guards against a late message of an earlier incarnation that takes its successor of the same id out of use.
+#[gtest]
+fn a_late_leave_message_does_not_concern_the_next_incarnation() {
+    let now = Instant::now();
+    let mut upstream = Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now);
+    upstream.apply(heartbeat("i", 20, 1, AnnouncedState::Ready), at(now));
+    expect_that!(upstream.apply(leave("i", Some(10)), at(now)), eq(Change::Stale));
+    expect_that!(upstream.state(), eq(UpstreamState::Ready));
+    upstream.apply(leave("i", Some(20)), at(now));
+    expect_that!(upstream.state(), eq(UpstreamState::Leaving));
+    upstream.apply(heartbeat("i", 30, 1, AnnouncedState::Ready), at(now));
+    expect_that!(upstream.state(), eq(UpstreamState::Ready));
+}
