--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,4 +1,4 @@
-//! A short soak run with a fixed schedule.
+//! Short soak runs with fixed schedules.
 //!
 //! Promises with a time limit are checked in manual runs only, as a busy machine would break them.
 
@@ -6,8 +6,9 @@
 
 use std::path::Path;
 
+use emulator::recorder::Event;
 use emulator::schedule::Fault;
-use emulator::soak;
+use emulator::soak::{self, Report};
 
 /// Promises that hold on a machine of any speed.
 const TIME_INDEPENDENT: [&str; 5] = [
@@ -23,15 +24,38 @@
                         freeze@2500+1500#5,shed@3000+3000#7,store-silent@3000+3000#0,stop@3500+0#4,\
                         die@4000+0#3,leave@4500+0#0,surge@4000+2000#0,add@5000+0#0";
 
-#[tokio::test]
-async fn promises_hold_under_faults() {
+/// Upstreams announce limits, leave and send without end; their nodes are killed and stopped meanwhile.
+const ANNOUNCEMENTS: &str = "limit@1000+12000#0,limit@1500+9001#4,depart@3000+0#1,kill@6000+1000#0,\
+                             endless@2000+4000#2,stop@4000+0#1,kill@8000+800#4,depart@9000+0#6,kill@11000+500#6";
+/// Promises that upstreams check from what they announced; a slow machine only sends them less.
+const ANNOUNCED: [&str; 2] = ["rate limits kept", "no new work after an answer of who leaves"];
+
+async fn run(net: u8, schedule: &str, zones: u8) -> Report {
     let program = Path::new(env!("CARGO_BIN_EXE_almondknot"));
-    let faults: Vec<Fault> = SCHEDULE.split(',').map(|text| text.parse().unwrap()).collect();
-    let report = soak::run(program, 90, 1, &faults, 2).await.unwrap();
+    let faults: Vec<Fault> = schedule.split(',').map(|text| text.parse().unwrap()).collect();
+    soak::run(program, net, 1, &faults, zones).await.unwrap()
+}
+
+fn expect_held(report: &Report, promises: &[&str]) {
     assert!(report.observations.arrivals.len() > 500, "too little load");
     for verdict in &report.verdicts {
-        if TIME_INDEPENDENT.contains(&verdict.promise) {
+        if promises.contains(&verdict.promise) {
             assert!(verdict.violations.is_empty(), "{}: {:?}", verdict.promise, verdict.violations);
         }
     }
 }
+
+#[tokio::test]
+async fn promises_hold_under_faults() {
+    expect_held(&run(90, SCHEDULE, 2).await, &TIME_INDEPENDENT);
+}
+
+/// Guards against limits and departures that are kept only until the node beside the upstream is restarted.
+#[tokio::test]
+async fn what_upstreams_announce_holds_across_restarts() {
+    let report = run(91, ANNOUNCEMENTS, 3).await;
+    let announced = |(_, event): &(_, Event)| matches!(event, Event::LimitAnnounced { .. });
+    assert!(report.observations.events.iter().any(announced), "no limit was announced");
+    expect_held(&report, &TIME_INDEPENDENT);
+    expect_held(&report, &ANNOUNCED);
+}
