--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -36,6 +36,9 @@
                     )
                 });
             }
+            "limited" => findings.causes.push(format!(
+                "{attempts} nodes were tried on route {route}, and the last one's upstream limits its rate"
+            )),
             _ => findings.causes.push(format!(
                 "{attempts} nodes were tried on route {route}, and none had a free slot in time ({reason})"
             )),
@@ -46,6 +49,14 @@
         Event::Failed { target, reason, .. } => {
             explain_failure(lines, line, target, reason, findings);
         }
+        Event::Rejected { reason, rate: Some(rate), .. } if reason == "limited" => {
+            let limit = latest(lines, line, |event| matches!(event, Event::RateLimitChanged { .. }));
+            findings.evidence.extend(limit.cloned());
+            findings.causes.push(format!(
+                "the upstream of {} accepts {rate} requests a second, as it announced",
+                line.node
+            ));
+        }
         Event::Rejected { running, limit, waiting, .. } => findings.causes.push(format!(
             "{running} of {limit} slots were in use at {}, and {waiting} requests were queued",
             line.node
--- a/components/explain/src/line.rs
+++ b/components/explain/src/line.rs
@@ -49,6 +49,12 @@
         state: String,
         slots: u32,
     },
+    RateLimitChanged {
+        upstream: String,
+        before: Option<f64>,
+        after: Option<f64>,
+        from: String,
+    },
     MemberChanged {
         member: String,
         #[serde(rename = "standing")]
@@ -111,6 +117,8 @@
         running: u32,
         waiting: u32,
         limit: u32,
+        #[serde(default)]
+        rate: Option<f64>,
         wait_ms: u64,
     },
     #[serde(rename = "broken")]
@@ -156,6 +164,35 @@
     }
 }
 
+impl Event {
+    /// Formats what a node logs of the upstream beside it.
+    fn fmt_guard_event(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UpstreamChanged { id, state, slots } => {
+                write!(out, "upstream {id} is {state} with {slots} slots")
+            }
+            Self::RateLimitChanged { upstream, before, after, from } => {
+                let rate = |rate: &Option<f64>| {
+                    rate.map_or("unlimited".to_owned(), |rate| format!("{rate}/s"))
+                };
+                let (before, after) = (rate(before), rate(after));
+                write!(out, "rate limit of upstream {upstream}: {before} to {after} ({from})")
+            }
+            Self::Rejected { reason, running, waiting, limit, rate, wait_ms, .. } => {
+                write!(
+                    out,
+                    "rejected ({reason}): {running} of {limit} slots in use, {waiting} queued, wait {wait_ms} ms"
+                )?;
+                rate.map_or(Ok(()), |rate| write!(out, ", {rate} requests/s allowed"))
+            }
+            Self::UpstreamFailed { upstream, reason, after_ms, .. } => {
+                write!(out, "no answer from upstream {upstream} after {after_ms} ms: {reason}")
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 impl fmt::Display for Event {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -169,9 +206,6 @@
             Self::StoreRecovered { after_ms } => {
                 write!(out, "store available again after {after_ms} ms")
             }
-            Self::UpstreamChanged { id, state, slots } => {
-                write!(out, "upstream {id} is {state} with {slots} slots")
-            }
             Self::MemberChanged { member, state, from } => {
                 write!(out, "member {member} is {state}, reported by {from}")
             }
@@ -196,15 +230,12 @@
             Self::Failed { target, reason, status, elapsed_ms, .. } => {
                 write!(out, "answered {status} after {elapsed_ms} ms: {reason} at {target}")
             }
-            Self::Rejected { reason, running, waiting, limit, wait_ms, .. } => write!(
-                out,
-                "rejected ({reason}): {running} of {limit} slots in use, {waiting} queued, wait {wait_ms} ms"
-            ),
-            Self::UpstreamFailed { upstream, reason, after_ms, .. } => {
-                write!(out, "no answer from upstream {upstream} after {after_ms} ms: {reason}")
-            }
             Self::Stopping {} => out.write_str("stopping"),
             Self::Resumed { stalled_ms } => write!(out, "resumed after a stall of {stalled_ms} ms"),
+            Self::UpstreamChanged { .. }
+            | Self::RateLimitChanged { .. }
+            | Self::Rejected { .. }
+            | Self::UpstreamFailed { .. } => self.fmt_guard_event(out),
             Self::Other => out.write_str("other event"),
         }
     }
