Bound the wait that a reported rate limit implies

A node takes rates and tokens from what other nodes report. A rate of zero, which none sends today, would have been a wait that no duration can hold, and a panic on the request path. The wait is bounded; a test covers it and the cost of a limited node, another one the form of what nodes tell each other of upstreams.

--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -37,6 +37,9 @@
 const OVERHEAD_WEIGHT: f64 = 0.1;
 const OVERHEAD_DECAY: Duration = Duration::from_secs(3);
 
+/// Longest wait that a rate limit is expected to cause, in seconds.
+const MAX_TOKEN_WAIT_SECS: f64 = 60.0;
+
 /// Distance of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tier {
@@ -193,7 +196,7 @@
                 (0, self.report.tokens.max(1.0))
             };
             let queued = f64::from(waiting + sent_since + 1);
-            (queued - tokens).max(0.0) / rate.0
+            ((queued - tokens).max(0.0) / rate.0).min(MAX_TOKEN_WAIT_SECS)
         });
         Duration::from_secs_f64(slot_wait.max(token_wait))
     }
--- a/components/mesh/tests/rate_limit.rs
+++ b/components/mesh/tests/rate_limit.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use mesh::decide::notice::{Notice, ReceivedNotice};
 use mesh::decide::queue::{Decision, Queue, SlotRequest};
 use mesh::decide::rate_limit::{Announced, Answer, RateLimit};
 use units::Rate;
@@ -151,3 +152,22 @@
         (1..=3).map(|number| queue.grant_next(now + number * 100 * MS + MS)).collect();
     expect_that!(order, eq(&vec![Some(0), Some(1), Some(2)]));
 }
+
+/// Guards against nodes that misread what another tells of its upstream.
+#[gtest]
+fn a_notice_reads_as_it_was_written_and_ages() {
+    let now = Instant::now();
+    let leaving = Some(Duration::from_millis(1_200));
+    for (rate_limit, leaving) in
+        [(None, leaving), (Some(Rate(0.25)), None), (Some(Rate(0.0)), leaving)]
+    {
+        let notice = Notice { incarnation: u64::MAX, rate_limit, leaving };
+        expect_that!(notice.to_string().parse::<Notice>(), ok(eq(&notice)));
+        let aged = ReceivedNotice::new(notice, now).aged(now + 300 * MS);
+        expect_that!(aged.leaving, eq(leaving.map(|age| age + 300 * MS)));
+        expect_that!(aged.rate_limit, eq(rate_limit));
+    }
+    for text in ["", "1", "x;", "1;-1", "1;NaN", "1;2;x", "1;2;3;4"] {
+        expect_that!(text.parse::<Notice>(), err(anything()), "{text}");
+    }
+}
--- a/components/mesh/tests/routing.rs
+++ b/components/mesh/tests/routing.rs
@@ -12,6 +12,7 @@
 use mesh::request::call::{self, Call, Root};
 use mesh::request::entry;
 use mesh::request::outcome::{Fault, Header, Refusal, RefusalReason};
+use units::Rate;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -139,6 +140,26 @@
     expect_that!(slow.cost(Tier::Zone, false, later), lt(healthy.cost(Tier::Region, false, later)));
 }
 
+/// Guards against requests that all go to the nearest node although its upstream takes few, and against values that
+/// no duration can hold.
+#[gtest]
+fn a_rate_limit_makes_a_node_cost_the_wait_for_its_tokens() {
+    let now = Instant::now();
+    let mut peer = Peer::new(now);
+    let limited = |rate, tokens| Load { rate: Some(Rate(rate)), tokens, ..busy(1, 0) };
+    peer.record_report(limited(10.0, 1.0), now);
+    expect_that!(peer.cost(Tier::Zone, false, now), eq(Duration::ZERO));
+    peer.record_report(limited(10.0, 0.0), now);
+    expect_that!(peer.cost(Tier::Zone, false, now), eq(100 * MS));
+    peer.record_sent(now);
+    peer.record_sent(now);
+    expect_that!(peer.cost(Tier::Zone, false, now), eq(300 * MS));
+    for (rate, tokens) in [(0.0, 0.0), (0.0, 3.0), (f64::MIN_POSITIVE, 0.0)] {
+        peer.record_report(limited(rate, tokens), now);
+        expect_that!(peer.cost(Tier::Zone, false, now), le(Duration::from_secs(60)));
+    }
+}
+
 fn busy(running: u32, waiting: u32) -> Load {
     Load { running, waiting, limit: 10, held_us: 50_000, ..Load::default() }
 }
