Reuse a connection only within the idle time that the upstream announces

A connection was reused for up to 5 s whatever the upstream had said; a request that may be repeated was then lost and drew on the retry budget where an upstream closes idle connections sooner.

The guard keeps a connection for four fifths of the announced time at most, as the platform's clients do.

--- a/components/mesh/src/connection/pool.rs
+++ b/components/mesh/src/connection/pool.rs
@@ -40,6 +40,15 @@
 struct Idle {
     sender: Sender,
     since: Instant,
+    /// Longest idle time that the server announced.
+    keep_alive: Duration,
+}
+
+impl Idle {
+    fn is_usable(&self, max_idle: Duration, now: Instant) -> bool {
+        let idle = now.saturating_duration_since(self.since);
+        idle < max_idle.min(self.keep_alive) && !self.sender.is_closed()
+    }
 }
 
 /// Idle connections by address.
@@ -59,11 +68,20 @@
 impl PooledConnection {
     /// Returns the connection to the pool, once the response has been read completely.
     pub fn release(self, now: Instant) {
+        self.release_for(Duration::MAX, now);
+    }
+
+    /// Returns the connection to the pool, which keeps it for less than `keep_alive`.
+    pub fn release_for(self, keep_alive: Duration, now: Instant) {
         if self.sender.is_closed() {
             return;
         }
         let mut idle = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.entry(self.address).or_default().push(Idle { sender: self.sender, since: now });
+        idle.entry(self.address).or_default().push(Idle {
+            sender: self.sender,
+            since: now,
+            keep_alive,
+        });
     }
 }
 
@@ -117,10 +135,7 @@
     pub fn close_expired(&self, max_idle: Duration, now: Instant) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for connections in idle.values_mut() {
-            connections.retain(|connection| {
-                !connection.sender.is_closed()
-                    && now.saturating_duration_since(connection.since) < max_idle
-            });
+            connections.retain(|connection| connection.is_usable(max_idle, now));
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -130,11 +145,7 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&to)?;
         while let Some(connection) = connections.pop() {
-            if now.saturating_duration_since(connection.since) >= max_idle {
-                connections.clear();
-                return None;
-            }
-            if !connection.sender.is_closed() {
+            if connection.is_usable(max_idle, now) {
                 return Some(connection.sender);
             }
         }
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header;
-use http::{HeaderValue, Request, Response, response};
+use http::{HeaderMap, HeaderValue, Request, Response, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use quarantine::Fingerprint;
@@ -31,6 +31,8 @@
 const MAX_IDLE: Duration = Duration::from_secs(5);
 /// The same for requests that can't be sent again if the connection turns out to be closed.
 const MAX_IDLE_UNSAFE: Duration = Duration::from_millis(1_500);
+/// Part of the idle time announced by the upstream in which a connection is reused.
+const KEEP_ALIVE_FRACTION: f64 = 0.8;
 /// Connect timeout of the check whether the upstream crashed; the address then refuses within it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -251,12 +253,24 @@
     if let Some(Resources { connection: Some(connection), .. }) = resources
         && reusable
     {
-        connection.release(shared.now());
+        connection.release_for(keep_alive(&parts.headers), shared.now());
     }
     call::strip_headers(&mut parts.headers);
     Ok(Outcome::Answer { head: Box::new(parts), body, not_run })
 }
 
+/// Time for which a connection may be reused; a part of the idle time that the upstream announces is kept back, as it
+/// may close the connection while a request is on its way.
+fn keep_alive(headers: &HeaderMap) -> Duration {
+    let value = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let parameters = value.into_iter().flat_map(|value| value.split(','));
+    let timeout = parameters.filter_map(|parameter| parameter.trim().strip_prefix("timeout="));
+    let seconds = timeout.filter_map(|seconds| seconds.trim().parse::<u32>().ok()).min();
+    seconds.map_or(Duration::MAX, |seconds| {
+        Duration::from_secs(seconds.into()).mul_f64(KEEP_ALIVE_FRACTION)
+    })
+}
+
 fn closes_connection(parts: &response::Parts) -> bool {
     let value = parts.headers.get(header::CONNECTION).and_then(|value| value.to_str().ok());
     value.is_some_and(|value| value.to_ascii_lowercase().contains("close"))
