Use more slots before the first answer of an upstream

At most four requests ran until the first answer told whether the upstream limits its rate.

What entries remember still comes before the first request of any machine that was told.

--- a/components/mesh/src/decide/queue.rs
+++ b/components/mesh/src/decide/queue.rs
@@ -122,6 +122,11 @@
         self.rate_limit.restore(limit, now)
     }
 
+    /// Records that there was no rate limit before a restart.
+    pub fn restore_unlimited(&mut self) {
+        self.rate_limit.restore_unlimited();
+    }
+
     /// Updates the rate limit from an answer of the upstream.
     pub fn record_answer(&mut self, answer: Answer, now: Instant) {
         let capacity = f64::from(self.limit) / self.held_secs;
@@ -211,7 +216,7 @@
 
     /// Slots that may be in use.
     fn slots(&self) -> u32 {
-        self.limit.min(self.rate_limit.concurrency())
+        self.rate_limit.usable_slots(self.limit)
     }
 
     fn ahead(&self, position: Position) -> f64 {
--- a/components/mesh/src/decide/rate_limit.rs
+++ b/components/mesh/src/decide/rate_limit.rs
@@ -12,8 +12,9 @@
 const BURST_TIME: Duration = Duration::from_millis(500);
 /// Least rate in requests per second: only an answer tells that a limit has ended.
 const PROBE_RATE: f64 = 0.5;
-/// Requests that may run at once before the first answer tells whether there is a limit.
-const UNCONFIRMED_CONCURRENCY: u32 = 4;
+/// Part of the slots used before the first answer tells whether there is a limit, as a divisor, and the least number.
+const UNCONFIRMED_DIVISOR: u32 = 4;
+const MIN_UNCONFIRMED_SLOTS: u32 = 4;
 /// Factor on the rate for an answer without a limit.
 const REOPENING_FACTOR: f64 = 2.0;
 /// Longest wait for a token that is reported.
@@ -78,6 +79,13 @@
         unknown
     }
 
+    /// Records that there was no limit before a restart.
+    pub fn restore_unlimited(&mut self) {
+        if matches!(self.state, State::Unknown) {
+            self.state = State::Unlimited;
+        }
+    }
+
     /// Updates the limit from an answer; `capacity` is the number of requests per second that the slots allow.
     pub fn record_answer(&mut self, answer: Answer, capacity: f64, now: Instant) {
         match (&mut self.state, answer.announced) {
@@ -121,9 +129,12 @@
         Duration::from_secs_f64(seconds.min(MAX_WAIT.as_secs_f64()))
     }
 
-    /// Most requests that may run at once.
-    pub fn concurrency(&self) -> u32 {
-        if matches!(self.state, State::Unknown) { UNCONFIRMED_CONCURRENCY } else { u32::MAX }
+    /// How many of the upstream's slots may be used.
+    pub fn usable_slots(&self, slots: u32) -> u32 {
+        match self.state {
+            State::Unknown => (slots / UNCONFIRMED_DIVISOR).max(MIN_UNCONFIRMED_SLOTS).min(slots),
+            State::Unlimited | State::Limited(_) => slots,
+        }
     }
 
     /// The announced limit.
--- a/components/mesh/src/process/limiter.rs
+++ b/components/mesh/src/process/limiter.rs
@@ -62,6 +62,12 @@
         restored
     }
 
+    /// Records that there was no rate limit before a restart.
+    pub fn restore_unlimited(&self, now: Instant) {
+        self.lock().restore_unlimited();
+        self.grant_waiting(now);
+    }
+
     /// Updates the rate limit from an answer; returns the announced limit before and after it.
     pub fn record_answer(&self, answer: Answer, now: Instant) -> (Option<Rate>, Option<Rate>) {
         let (before, after) = {
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -153,6 +153,9 @@
     };
     if restored {
         control::upstream_changed(shared, &heartbeat, state, true, "store");
+        if rate_limit.is_none() {
+            shared.limiter.restore_unlimited(now.monotonic);
+        }
     }
     // A heartbeat may have come first, but it tells nothing of this.
     announced::apply_notice(shared, &notice, "store");
