--- a/components/mesh/tests/members.rs
+++ b/components/mesh/tests/members.rs
@@ -6,7 +6,10 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use mesh::decide::members::{Measurements, MemberUpdate, Merged, Record, Table, UpstreamState};
+use mesh::decide::demand::Demand;
+use mesh::decide::members::{
+    Measurements, Member, MemberUpdate, Merged, Record, Table, UpstreamState,
+};
 
 fn record(node: &str, incarnation: u64, serial: u64) -> Record {
     Record {
@@ -146,3 +149,15 @@
     table.refresh_all(later);
     expect_that!(silent(&table, "b", later), some(eq(false)));
 }
+
+/// Guards against roots that are admitted for slots which the rate limits of upstreams leave unused.
+#[gtest]
+fn demand_counts_the_slots_that_a_rate_limit_can_fill() {
+    let load = (2, 0, 40, 200_000);
+    for (rate, slots) in [(None, 40.0), (Some((10.0, 0.0)), 2.0), (Some((1e9, 5.0)), 40.0)] {
+        let mut demand = Demand::default();
+        let measurements = Measurements { load, rate, ..Measurements::default() };
+        demand.add(&Member { record: record("n", 1, 1), measurements });
+        expect_that!(demand.slots["s"], near(slots, 1e-9));
+    }
+}
