Use nodes that count as dead when a service has no others

What callers saw: 503 no-upstream for some moments after all nodes of a service had been silent for about three seconds, though they were back; the same where the entry itself had been starved and took what it missed for the death of the others. Operators told us of machines whose work is given up because they were slow to report.

Cause: the routing table holds only members that count as present. A suspicion ends in Dead after 2 s, and a refutation that is on its way comes too late.

Change: where no member of a service is present, those whose last record says that they serve are targets, marked as unhealthy. A node that is really gone refuses the connection, which is not run and told so. Departed and draining ones are not used.

--- a/components/membership/src/member.rs
+++ b/components/membership/src/member.rs
@@ -76,11 +76,16 @@
 
     /// Whether calls may be sent to its upstream.
     pub fn accepts_requests(&self) -> bool {
-        self.is_present()
-            && self
-                .upstream
-                .as_ref()
-                .is_some_and(|upstream| upstream.state == UpstreamState::Serving)
+        self.is_present() && self.is_serving()
+    }
+
+    /// Whether its upstream accepted requests when the node was last heard of, though it counts as dead since.
+    pub fn accepted_requests(&self) -> bool {
+        self.status == Status::Dead && self.is_serving()
+    }
+
+    fn is_serving(&self) -> bool {
+        self.upstream.as_ref().is_some_and(|upstream| upstream.state == UpstreamState::Serving)
     }
 
     /// Hash that this record adds to its domain's digest. A suspicion is settled within the domain, so a suspect counts
--- a/components/node/src/process/routes.rs
+++ b/components/node/src/process/routes.rs
@@ -64,11 +64,12 @@
 impl RoutingTable {
     /// Builds the table from the membership; known load is kept from the previous table.
     pub fn new(table: &Table, previous: &Self, now: Instant) -> Self {
-        let mut grouped: HashMap<ServiceName, Vec<&Member>> = HashMap::new();
-        for member in table.all().filter(|member| member.accepts_requests()) {
-            if let Some(upstream) = &member.upstream {
-                grouped.entry(upstream.service.clone()).or_default().push(member);
-            }
+        let mut grouped = by_service(table.all().filter(|member| member.accepts_requests()));
+        // Where all nodes of a service count as dead, they or this node may only have been silent for a while.
+        for (service, members) in
+            by_service(table.all().filter(|member| member.accepted_requests()))
+        {
+            grouped.entry(service).or_insert(members);
         }
         let services = grouped.into_iter().map(|(service, members)| {
             let known = previous.targets(&service);
@@ -89,6 +90,18 @@
     }
 }
 
+fn by_service<'a>(
+    members: impl Iterator<Item = &'a Member>,
+) -> HashMap<ServiceName, Vec<&'a Member>> {
+    let mut grouped: HashMap<ServiceName, Vec<&Member>> = HashMap::new();
+    for member in members {
+        if let Some(upstream) = &member.upstream {
+            grouped.entry(upstream.service.clone()).or_default().push(member);
+        }
+    }
+    grouped
+}
+
 /// Target for calls whose key the member holds, whatever its load.
 pub fn holder_target(
     own: &Member,
@@ -138,7 +151,7 @@
         tier,
         local: member.node == own.node,
         incarnation: member.incarnation,
-        suspect: member.status == Status::Suspect,
+        suspect: member.status != Status::Alive,
         peer,
     })
 }
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -10,7 +10,9 @@
 use standins::log;
 use standins::relay::{Link, LinkChange};
 use standins::upstream::Faults;
-use support::{MS, empty_cluster, get, header, mix, node_logs, run_load, send};
+use support::{
+    MS, empty_cluster, get, header, mix, node_logs, post, ready_cluster, run_load, send,
+};
 
 const RULES: &str = "call * /echo to echo class customer deadline 5s retries 2 # test\n";
 
@@ -122,6 +124,40 @@
     assert!(reaches_version(&cluster, 3, &vms).await);
 }
 
+/// Suspends the nodes beside the upstreams of a service again and again, and sends requests as soon as they go on.
+async fn send_after_pauses(cluster: &mut Cluster, nodes: &[&str], pause: Duration, gap: Duration) {
+    let entry = cluster.vms()[0].clone();
+    for round in 0..5 {
+        for signal in [Signal::SIGSTOP, Signal::SIGCONT] {
+            for node in nodes {
+                cluster.process(node).unwrap().signal(signal).unwrap();
+            }
+            if signal == Signal::SIGSTOP {
+                tokio::time::sleep(pause).await;
+            }
+        }
+        for _ in 0..5 {
+            let answer = send(cluster, &entry, post("/echo", "r"), vec![]).await;
+            let reason = header(&answer, "almondknot-reason");
+            assert_eq!(answer.head.status, 200, "round {round}: {reason}\n{}", node_logs(cluster));
+        }
+        tokio::time::sleep(gap).await;
+    }
+}
+
+/// Guards against requests that are refused because all nodes of a service were silent for a while and count as dead.
+#[tokio::test]
+async fn nodes_that_count_as_dead_are_used_when_there_are_no_others() {
+    let vms = vec![
+        Vm::new("entry", 0, 1, "other"),
+        Vm::new("e2", 0, 2, "echo"),
+        Vm::new("e3", 0, 3, "echo"),
+    ];
+    let mut cluster = ready_cluster(70, RULES, vms).await;
+    let (pause, gap) = (Duration::from_secs(4), Duration::ZERO);
+    send_after_pauses(&mut cluster, &["node-e2", "node-e3"], pause, gap).await;
+}
+
 /// A draining upstream gets no new work from any failure domain after three seconds, also while the log is down.
 #[tokio::test]
 async fn a_draining_upstream_gets_no_new_work_and_no_request_fails() {
