Keep an upstream whose announcements a paused node has not read yet

What callers saw: 503 no-upstream from the node beside a healthy upstream after that node's process had stood still for over two seconds.

Cause: the watch of the upstream compared the time of the last announcement with the clock as soon as the process went on, before it had read the announcements that had arrived meanwhile; ticks that were missed then came in a burst.

Change: a pause of the watch itself starts the time for announcements anew, and missed ticks are dropped.

--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -322,12 +322,13 @@
         self.publish_upstream();
     }
 
-    /// Removes an upstream that has not announced itself for `timeout`; true if it was removed.
-    pub fn expire_upstream(&self, timeout: Duration) -> bool {
+    /// Removes an upstream that has not announced itself for `timeout`, in which this process, running without a pause
+    /// since `running_since`, could have read it; true if it was removed.
+    pub fn expire_upstream(&self, timeout: Duration, running_since: Instant) -> bool {
         let now = self.clock.now();
         let mut upstream = lock(&self.upstream);
-        let expired =
-            upstream.as_ref().is_some_and(|(_, at)| now.saturating_duration_since(*at) > timeout);
+        let silent_for = |at: Instant| now.saturating_duration_since(at.max(running_since));
+        let expired = upstream.as_ref().is_some_and(|(_, at)| silent_for(*at) > timeout);
         if expired {
             *upstream = None;
         }
--- a/components/node/src/process/upstream_watch.rs
+++ b/components/node/src/process/upstream_watch.rs
@@ -7,6 +7,7 @@
 use http::header;
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
+use tokio::time::MissedTickBehavior;
 use units::Clock;
 
 use super::shards::lock;
@@ -16,6 +17,8 @@
 
 /// Time without an announcement after which the upstream is considered gone.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two ticks from which the process counts as having stood still; a poll of the load takes part of it.
+const MAX_TICK_GAP: Duration = Duration::from_millis(1_500);
 const QUEUE_TICK: Duration = Duration::from_millis(5);
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
@@ -41,10 +44,18 @@
 /// Watches the upstream, updates gauges, and removes idle connections and expired records.
 pub async fn run<C: Clock>(shared: Arc<Shared<C>>) {
     let mut ticks = tokio::time::interval(LOAD_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_sweep = shared.clock.now();
+    let (mut last_tick, mut running_since) = (last_sweep, last_sweep);
     loop {
         ticks.tick().await;
-        if shared.expire_upstream(ANNOUNCE_TIMEOUT) {
+        let now = shared.clock.now();
+        if now.saturating_duration_since(last_tick) > MAX_TICK_GAP {
+            // Announcements that arrived while the process stood still have not been read yet.
+            running_since = now;
+        }
+        last_tick = now;
+        if shared.expire_upstream(ANNOUNCE_TIMEOUT, running_since) {
             log::warn!(node = shared.settings.node.as_str(); "the upstream stopped announcing itself");
         }
         if let Some(upstream) = shared.local_upstream() {
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -145,6 +145,18 @@
     }
 }
 
+/// Guards against a node that stood still, takes the announcements that it has not read yet for the end of its
+/// upstream, and refuses its requests.
+#[tokio::test]
+async fn a_paused_node_does_not_give_its_upstream_up() {
+    let vms = vec![Vm::new("entry", 0, 1, "other"), Vm::new("e2", 0, 2, "echo")];
+    let mut cluster = ready_cluster(69, RULES, vms).await;
+    let (pause, gap) = (Duration::from_millis(2_600), Duration::from_secs(2));
+    send_after_pauses(&mut cluster, &["node-e2"], pause, gap).await;
+    let log = cluster.process_output("node-e2");
+    assert!(!log.contains("the upstream stopped announcing itself"), "{log}");
+}
+
 /// Guards against requests that are refused because all nodes of a service were silent for a while and count as dead.
 #[tokio::test]
 async fn nodes_that_count_as_dead_are_used_when_there_are_no_others() {
