Report the tokens of now

A guard reported the tokens that were left after its last request. One that had not been asked for a while, as its tokens were spent, so went on to look busy to all other nodes, and requests were sent farther than they had to. The report now counts the tokens that have come back since; the test describes it (before, the report said 0 at all three times).

--- a/components/mesh/src/decide/queue.rs
+++ b/components/mesh/src/decide/queue.rs
@@ -139,8 +139,8 @@
     }
 
     /// Current load.
-    pub fn load(&self) -> Load {
-        let rate = self.rate_limit.rate_and_tokens();
+    pub fn load(&self, now: Instant) -> Load {
+        let rate = self.rate_limit.rate_and_tokens(now);
         Load {
             running: self.running,
             waiting: self.waiting.len() as u32,
--- a/components/mesh/src/decide/rate_limit.rs
+++ b/components/mesh/src/decide/rate_limit.rs
@@ -146,11 +146,10 @@
     }
 
     /// The rate in use, and the tokens at hand.
-    pub fn rate_and_tokens(&self) -> Option<(Rate, f64)> {
-        match &self.state {
-            State::Limited(bucket) => Some((Rate(bucket.rate), bucket.tokens)),
-            State::Unknown | State::Unlimited => None,
-        }
+    pub fn rate_and_tokens(&self, now: Instant) -> Option<(Rate, f64)> {
+        let State::Limited(mut bucket) = self.state else { return None };
+        bucket.refill(now);
+        Some((Rate(bucket.rate), bucket.tokens))
     }
 }
 
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -98,7 +98,7 @@
 
 /// Renders the metrics.
 pub async fn metrics<P: Platform>(shared: Arc<Shared<P>>) -> Response<Full<Bytes>> {
-    let load = shared.limiter.load();
+    let load = shared.limiter.load(shared.now());
     shared.metrics.members.set(lock(&shared.members).count_ready() as i64);
     shared.metrics.upstream.running.set(i64::from(load.running));
     shared.metrics.upstream.waiting.set(i64::from(load.waiting));
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -315,7 +315,7 @@
 
 /// Updates this node's measurements, and drops members and connections that have expired.
 fn refresh<P: Platform>(shared: &Shared<P>, now: Instant) {
-    let measurements = lock(&shared.traffic).measurements(shared.limiter.load(), now);
+    let measurements = lock(&shared.traffic).measurements(shared.limiter.load(now), now);
     let mut table = lock(&shared.members);
     table.set_measurements(measurements, now);
     table.sweep(now);
--- a/components/mesh/src/process/limiter.rs
+++ b/components/mesh/src/process/limiter.rs
@@ -72,9 +72,9 @@
     pub fn record_answer(&self, answer: Answer, now: Instant) -> (Option<Rate>, Option<Rate>) {
         let (before, after) = {
             let mut queue = self.lock();
-            let before = (queue.announced_limit(), queue.load().rate);
+            let before = (queue.announced_limit(), queue.load(now).rate);
             queue.record_answer(answer, now);
-            (before, (queue.announced_limit(), queue.load().rate))
+            (before, (queue.announced_limit(), queue.load(now).rate))
         };
         self.grant_waiting(now);
         if before.1 != after.1 {
@@ -89,8 +89,8 @@
     }
 
     /// Current load.
-    pub fn load(&self) -> Load {
-        self.lock().load()
+    pub fn load(&self, now: Instant) -> Load {
+        self.lock().load(now)
     }
 
     /// Asks for a slot.
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -116,7 +116,7 @@
     /// Returns the number of requests that were cut off.
     pub async fn stop(mut self) -> usize {
         let shared = self.shared.clone();
-        let load = shared.limiter.load();
+        let load = shared.limiter.load(shared.now());
         shared.log(&Event::Stopping { running: load.running, waiting: load.waiting });
         shared.stopping.send_replace(true);
         let limit = shared.settings.stop_timeout.saturating_sub(CLOSE_RESERVE);
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -182,8 +182,9 @@
         }
     };
     call::set_header(response.headers_mut(), call::OUTCOME, header);
-    let guard_time = shared.now().saturating_duration_since(arrived);
-    let report = LoadReport { load: shared.limiter.load(), guard_time };
+    let now = shared.now();
+    let guard_time = now.saturating_duration_since(arrived);
+    let report = LoadReport { load: shared.limiter.load(now), guard_time };
     call::set_header(response.headers_mut(), call::LOAD, report);
     if let Some(notice) = announced::notice(shared) {
         call::set_header(response.headers_mut(), call::NOTICE, notice);
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -283,7 +283,8 @@
     let in_flight = peer::InFlight::new(shared.clone(), target.record.node.clone());
     let outcome = guard::serve(shared, &call, head, body).await;
     drop(in_flight);
-    let (load, now) = (shared.limiter.load(), shared.now());
+    let now = shared.now();
+    let load = shared.limiter.load(now);
     shared.with_peer(&target.record.node, |peer| peer.record_report(load, now));
     outcome
 }
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -190,7 +190,7 @@
         }
     };
     shared.metrics.guard_errors.with_label_values(&[reason.as_str()]).inc();
-    let load = shared.limiter.load();
+    let load = shared.limiter.load(shared.now());
     shared.log(&Event::Rejected {
         id: head.id.to_str().unwrap_or_default(),
         reason: reason.as_str(),
--- a/components/mesh/tests/queue.rs
+++ b/components/mesh/tests/queue.rs
@@ -32,9 +32,9 @@
 fn some_announced_slots_stay_unused() {
     let mut queue: Queue<()> = Queue::new();
     queue.set_slots(48);
-    expect_that!(queue.load().limit, eq(45));
+    expect_that!(queue.load(Instant::now()).limit, eq(45));
     queue.set_slots(1);
-    expect_that!(queue.load().limit, eq(1));
+    expect_that!(queue.load(Instant::now()).limit, eq(1));
 }
 
 #[gtest]
@@ -57,7 +57,7 @@
     let hasty = SlotRequest { max_wait: 10 * MS, ..request(0, now, now) };
     let decision = queue.acquire(hasty, now, || "hasty");
     expect_that!(decision, matches_pattern!(Decision::Refuse { .. }));
-    expect_that!(queue.load().waiting, eq(0));
+    expect_that!(queue.load(now).waiting, eq(0));
 }
 
 #[gtest]
@@ -118,7 +118,7 @@
                 refused[usize::from(priority)] += 1;
             }
         }
-        while running.len() < queue.load().running as usize {
+        while running.len() < queue.load(now).running as usize {
             running.push(now + 40 * MS);
         }
     }
--- a/components/mesh/tests/rate_limit.rs
+++ b/components/mesh/tests/rate_limit.rs
@@ -12,6 +12,11 @@
 /// Requests per second that the slots allow in these tests.
 const CAPACITY: f64 = 100.0;
 
+/// The rate in use.
+fn rate(state: &RateLimit, now: Instant) -> Option<Rate> {
+    state.rate_and_tokens(now).map(|(rate, _)| rate)
+}
+
 fn answer(announced: Announced, sent_at: Instant) -> Answer {
     Answer { announced, sent_at, ran: true }
 }
@@ -63,7 +68,7 @@
     let mut state = limited(10.0, start);
     for announced in [Announced::Unlimited, limit(50.0)] {
         state.record_answer(answer(announced, start - 300 * MS), CAPACITY, start + 5 * MS);
-        expect_that!(state.rate_and_tokens().map(|(rate, _)| rate), some(eq(Rate(10.0))));
+        expect_that!(rate(&state, start), some(eq(Rate(10.0))));
     }
     state.record_answer(answer(limit(4.0), start - 300 * MS), CAPACITY, start + 10 * MS);
     expect_that!(state.announced(), some(eq(Rate(4.0))), "a lower limit counts at once");
@@ -79,12 +84,12 @@
     let later = start + 200 * MS;
     state.record_answer(answer(Announced::Unlimited, later), CAPACITY, later + 100 * MS);
     expect_that!(state.announced(), some(eq(Rate(10.0))));
-    expect_that!(state.rate_and_tokens().map(|(rate, _)| rate), some(eq(Rate(20.0))));
+    expect_that!(rate(&state, start), some(eq(Rate(20.0))));
     let refused = Answer { ran: false, ..answer(Announced::Unlimited, later + 200 * MS) };
     state.record_answer(refused, CAPACITY, later + 200 * MS);
-    expect_that!(state.rate_and_tokens().map(|(rate, _)| rate), some(eq(Rate(20.0))));
+    expect_that!(rate(&state, start), some(eq(Rate(20.0))));
     state.record_answer(answer(limit(10.0), later), CAPACITY, later + 250 * MS);
-    expect_that!(state.rate_and_tokens().map(|(rate, _)| rate), some(eq(Rate(10.0))));
+    expect_that!(rate(&state, start), some(eq(Rate(10.0))));
 }
 
 #[gtest]
@@ -108,7 +113,7 @@
     let start = Instant::now();
     let mut state = limited(10.0, start);
     state.record_answer(answer(Announced::Invalid, start + MS), CAPACITY, start + 2 * MS);
-    expect_that!(state.rate_and_tokens().map(|(rate, _)| rate), some(eq(Rate(10.0))));
+    expect_that!(rate(&state, start), some(eq(Rate(10.0))));
     let mut unknown = RateLimit::default();
     unknown.record_answer(answer(Announced::Invalid, start), CAPACITY, start);
     expect_that!(unknown.announced(), none());
@@ -171,3 +176,15 @@
         expect_that!(text.parse::<Notice>(), err(anything()), "{text}");
     }
 }
+
+/// Guards against a node that is not used although its tokens have returned, as it reports those of its last request.
+#[gtest]
+fn reported_tokens_are_those_of_now() {
+    let now = Instant::now();
+    let mut queue: Queue<u32> = Queue::new();
+    queue.set_slots(40);
+    queue.record_answer(answer(limit(10.0), now), now);
+    expect_that!(queue.load(now).tokens, near(0.0, 1e-9));
+    expect_that!(queue.load(now + 300 * MS).tokens, near(3.0, 1e-9));
+    expect_that!(queue.load(now + 5_000 * MS).tokens, near(5.0, 1e-9));
+}
