Remember each departure once

An earlier incarnation that repeats that it is leaving filled the list of departures, so that another one was forgotten. The test failed before.

--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -202,6 +202,10 @@
 
     /// Remembers an acknowledged departure, as a late heartbeat of that incarnation may still arrive.
     fn record_departure(&mut self, id: String, started_ms: u64, since: Moment) {
+        let same = |known: &Departure| known.id == id && known.started_ms >= started_ms;
+        if self.departures.iter().any(same) {
+            return;
+        }
         if self.departures.len() == MAX_DEPARTURES {
             self.departures.pop_front();
         }
--- a/components/mesh/tests/upstream.rs
+++ b/components/mesh/tests/upstream.rs
@@ -165,3 +165,19 @@
     upstream.apply(heartbeat("i", 30, 1, AnnouncedState::Ready), at(now));
     expect_that!(upstream.state(), eq(UpstreamState::Ready));
 }
+
+/// Guards against one incarnation that says again and again that it is leaving, until others are forgotten.
+#[gtest]
+fn a_repeated_departure_is_remembered_once() {
+    let now = Instant::now();
+    let mut upstream = Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now);
+    upstream.apply(heartbeat("new", 30, 1, AnnouncedState::Ready), at(now));
+    upstream.apply(heartbeat("first", 10, 1, AnnouncedState::Draining), at(now));
+    for sequence in 1..20 {
+        upstream.apply(heartbeat("second", 20, sequence, AnnouncedState::Draining), at(now));
+    }
+    let later = now + HEARTBEAT_INTERVAL * 4;
+    upstream.apply(heartbeat("first", 10, 2, AnnouncedState::Ready), at(later));
+    expect_that!(upstream.state(), eq(UpstreamState::Leaving));
+    expect_that!(upstream.accepting(at(later)), none());
+}
