--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -36,12 +36,7 @@
                     )
                 });
             }
-            "limited" => findings.causes.push(format!(
-                "{attempts} nodes were tried on route {route}, and the last one's upstream limits its rate"
-            )),
-            _ => findings.causes.push(format!(
-                "{attempts} nodes were tried on route {route}, and none had a free slot in time ({reason})"
-            )),
+            _ => findings.causes.push(no_capacity(route, reason, *attempts)),
         },
         Event::Unrouted { path, version, .. } => {
             explain_unrouted(lines, line, path, *version, findings);
@@ -50,24 +45,38 @@
             explain_failure(lines, line, target, reason, findings);
         }
         Event::Rejected { reason, rate: Some(rate), .. } if reason == "limited" => {
-            let limit = latest(lines, line, |event| matches!(event, Event::RateLimitChanged { .. }));
-            findings.evidence.extend(limit.cloned());
-            findings.causes.push(format!(
-                "the upstream of {} accepts {rate} requests a second, as it announced",
-                line.node
-            ));
+            explain_rate_limit(lines, line, *rate, findings);
         }
         Event::Rejected { running, limit, waiting, .. } => findings.causes.push(format!(
             "{running} of {limit} slots were in use at {}, and {waiting} requests were queued",
             line.node
         )),
-        Event::UpstreamFailed { upstream, reason, .. } => findings
-            .causes
-            .push(format!("upstream {upstream} of {} did not answer the request: {reason}", line.node)),
+        Event::UpstreamFailed { upstream, reason, .. } => findings.causes.push(format!(
+            "upstream {upstream} of {} did not answer the request: {reason}",
+            line.node
+        )),
         _ => {}
     }
 }
 
+fn no_capacity(route: &str, reason: &str, attempts: u32) -> String {
+    let lacking = if reason == "limited" {
+        "was within its upstream's rate limit"
+    } else {
+        "had a free slot"
+    };
+    format!("{attempts} nodes were tried on route {route}, and none {lacking} in time ({reason})")
+}
+
+fn explain_rate_limit(lines: &[Line], line: &Line, rate: f64, findings: &mut Findings) {
+    let limit = latest(lines, line, |event| matches!(event, Event::RateLimitChanged { .. }));
+    findings.evidence.extend(limit.cloned());
+    findings.causes.push(format!(
+        "the upstream of {} accepts {rate} requests a second, as it announced",
+        line.node
+    ));
+}
+
 fn explain_overload(lines: &[Line], line: &Line, route: &str, share: f64, findings: &mut Findings) {
     let plan = latest(lines, line, |event| matches!(event, Event::PlanChanged { .. }));
     let bottleneck = plan.and_then(|plan| match &plan.event {
