--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod choose;
 pub mod demand;
+pub mod epoch;
 pub mod members;
 pub mod meter;
 pub mod notice;
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -1,13 +1,15 @@
 //! Interface to a platform: header names, announcements of upstreams, the configuration and the store.
 
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderName, Method};
 use quick_error::quick_error;
-use units::Clock;
+use units::{Clock, ParseError};
 use xxhash_rust::xxh3;
 
 use crate::configuration::Configuration;
@@ -35,6 +37,73 @@
     }
 }
 
+units::value! {
+    /// Epoch of the store's content. A restore from an older copy starts a new one, in which offsets are given out again.
+    #[derive(serde::Serialize, serde::Deserialize)]
+    #[serde(transparent)]
+    pub struct StoreEpoch(pub u64);
+}
+
+impl fmt::Display for StoreEpoch {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(out)
+    }
+}
+
+impl FromStr for StoreEpoch {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let invalid = || ParseError::Expected(text.to_owned(), "a whole number of at most 64 bits");
+        if !text.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(invalid());
+        }
+        text.parse().map(Self).map_err(|_| invalid())
+    }
+}
+
+/// The epoch that an answer of the store names.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AnswerEpoch {
+    /// No answer arrived, or it names none.
+    Missing,
+    /// The answer names something else.
+    Invalid(String),
+    /// The epoch.
+    Valid(StoreEpoch),
+}
+
+impl AnswerEpoch {
+    /// The epoch, if it is known.
+    pub fn valid(&self) -> Option<StoreEpoch> {
+        match self {
+            Self::Missing | Self::Invalid(_) => None,
+            Self::Valid(epoch) => Some(*epoch),
+        }
+    }
+}
+
+/// Outcome of a call to the store; refusals name the epoch too.
+#[derive(Debug)]
+pub struct Answer<T> {
+    /// Epoch of the store when it answered.
+    pub epoch: AnswerEpoch,
+    /// What it answered.
+    pub result: Result<T, StoreError>,
+}
+
+impl<T> Answer<T> {
+    /// An answer of the same epoch with a result computed from this one.
+    pub fn and_then<U>(self, next: impl FnOnce(T) -> Result<U, StoreError>) -> Answer<U> {
+        Answer { epoch: self.epoch, result: self.result.and_then(next) }
+    }
+}
+
+impl<T> From<StoreError> for Answer<T> {
+    fn from(err: StoreError) -> Self {
+        Self { epoch: AnswerEpoch::Missing, result: Err(err) }
+    }
+}
+
 /// Names of the headers that callers and upstreams of the platform use.
 #[derive(Debug, Clone)]
 pub struct Headers {
@@ -105,11 +174,11 @@
     },
 }
 
-/// A configuration read from the store.
+/// What a read of the store's log of configurations found.
 #[derive(Debug, Clone)]
-pub struct StoredConfiguration {
-    /// The document as it was written.
-    pub bytes: Bytes,
+pub struct ConfigurationRead {
+    /// The newest document among the records that were read, as it was written.
+    pub document: Option<Bytes>,
     /// Offset at which to continue reading.
     pub next_offset: u64,
 }
@@ -136,25 +205,19 @@
     /// Decodes and validates a configuration.
     fn decode_configuration(&self, bytes: &[u8]) -> Result<Configuration, String>;
 
-    /// Reads the newest configuration and the offset at which to continue reading.
-    fn latest_configuration(
-        &self,
-    ) -> impl Future<Output = Result<(Option<StoredConfiguration>, u64), StoreError>> + Send;
+    /// Reads the newest configuration.
+    fn latest_configuration(&self) -> impl Future<Output = Answer<ConfigurationRead>> + Send;
 
     /// Waits up to `wait` for a configuration written at offset `from` or later.
     fn follow_configuration(
         &self,
         from: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<(Option<StoredConfiguration>, u64), StoreError>> + Send;
+    ) -> impl Future<Output = Answer<ConfigurationRead>> + Send;
 
     /// Reads the records of all nodes.
-    fn node_records(&self) -> impl Future<Output = Result<Vec<Bytes>, StoreError>> + Send;
+    fn node_records(&self) -> impl Future<Output = Answer<Vec<Bytes>>> + Send;
 
     /// Stores the record of a node under its name.
-    fn put_record(
-        &self,
-        node: &str,
-        record: Vec<u8>,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    fn put_record(&self, node: &str, record: Vec<u8>) -> impl Future<Output = Answer<()>> + Send;
 }
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -2,6 +2,7 @@
 
 pub mod announced;
 pub mod control;
+pub mod epoch;
 pub mod events;
 pub mod exchange;
 pub mod limiter;
--- /dev/null
+++ b/components/mesh/src/process/epoch.rs
@@ -0,0 +1,44 @@
+//! Tracks the epoch of the store, in the log and the metrics.
+
+use super::events::Event;
+use super::shared::Shared;
+use crate::decide::epoch::{self, EpochChange};
+use crate::platform::{AnswerEpoch, Platform, StoreEpoch};
+
+/// Takes note of the epoch in an answer of the store.
+pub fn observe_answer<P: Platform>(shared: &Shared<P>, seen: &AnswerEpoch) {
+    match seen {
+        AnswerEpoch::Missing => {}
+        AnswerEpoch::Invalid(reason) => ignored(shared, "invalid", reason),
+        AnswerEpoch::Valid(seen) => observe(shared, *seen, "store"),
+    }
+}
+
+fn observe<P: Platform>(shared: &Shared<P>, seen: StoreEpoch, from: &str) {
+    let mut change = EpochChange::Same;
+    shared.store_epoch.send_if_modified(|latest| {
+        change = epoch::compare(*latest, seen);
+        let newer = matches!(change, EpochChange::First | EpochChange::Restored(_));
+        if newer {
+            *latest = Some(seen);
+        }
+        newer
+    });
+    match change {
+        EpochChange::Same => {}
+        EpochChange::First => shared.metrics.store.epoch.set(seen.0 as i64),
+        EpochChange::Restored(before) => {
+            shared.metrics.store.epoch.set(seen.0 as i64);
+            shared.metrics.store.restores.inc();
+            shared.log(&Event::StoreRestored { before: before.0, after: seen.0, from });
+        }
+        EpochChange::Older(latest) => {
+            ignored(shared, "older", &format!("epoch {seen} after epoch {latest}"));
+        }
+    }
+}
+
+fn ignored<P: Platform>(shared: &Shared<P>, kind: &str, reason: &str) {
+    shared.metrics.store.ignored_epochs.with_label_values(&[kind]).inc();
+    shared.log(&Event::StoreEpochIgnored { reason });
+}
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -57,6 +57,38 @@
     StoreRecovered {
         after_ms: u64,
     },
+    /// The store was restored from an older copy.
+    StoreRestored {
+        before: u64,
+        after: u64,
+        /// The store, or the node that said so.
+        from: &'a str,
+    },
+    /// An answer names no valid epoch, or an older one than another answer.
+    StoreEpochIgnored {
+        #[serde(rename = "why")]
+        reason: &'a str,
+    },
+    ConfigurationRead {
+        /// Offset that was asked for; none for the newest one.
+        offset: Option<u64>,
+        #[serde(rename = "next")]
+        next_offset: u64,
+        epoch: Option<u64>,
+        /// Version that was found, and the one in force after that.
+        found: Option<u64>,
+        version: u64,
+    },
+    MembersRead {
+        records: usize,
+        /// Records that were unknown or newer than the known ones.
+        changed: usize,
+        epoch: Option<u64>,
+    },
+    RecordWritten {
+        serial: u64,
+        epoch: Option<u64>,
+    },
     UpstreamChanged {
         id: &'a str,
         #[serde(rename = "standing")]
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -242,7 +242,8 @@
         apply_suspect(shared, suspect, now);
     }
     if let Some(configuration) = message.configuration {
-        shared.apply_configuration(configuration.as_bytes(), &source);
+        // What is wrong with it, if anything, is in the log.
+        let _ = shared.apply_configuration(configuration.as_bytes(), &source);
     }
 }
 
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -17,8 +17,8 @@
     pub guard_errors: IntCounterVec,
     /// Requests that were sent again, by reason.
     pub retries: IntCounterVec,
-    /// Calls to the store, by purpose and outcome.
-    pub store_calls: IntCounterVec,
+    /// Metrics of the store, as this node sees it.
+    pub store: StoreMetrics,
     /// Exchanges with other nodes that failed.
     pub failed_exchanges: IntCounter,
     /// Time from a call to its answer, in seconds.
@@ -35,6 +35,41 @@
     pub upstream: UpstreamMetrics,
 }
 
+/// Metrics of the store, as this node sees it.
+#[derive(Debug, Clone)]
+pub struct StoreMetrics {
+    /// Calls, by purpose and outcome.
+    pub calls: IntCounterVec,
+    /// Latest epoch; 0 if none is known.
+    pub epoch: IntGauge,
+    /// Times that it was restored from an older copy.
+    pub restores: IntCounter,
+    /// Epochs that were ignored: invalid ones, and ones older than the latest.
+    pub ignored_epochs: IntCounterVec,
+}
+
+impl StoreMetrics {
+    fn new(registry: &MetricsRegistry) -> prometheus::Result<Self> {
+        Ok(Self {
+            calls: registry.counters(
+                "store_calls_total",
+                "Calls of the store.",
+                &["call", "outcome"],
+            )?,
+            epoch: registry.gauge("store_epoch", "Latest epoch of the store; 0 if unknown.")?,
+            restores: registry.counter(
+                "store_restores_total",
+                "Times that the store was restored from an older copy.",
+            )?,
+            ignored_epochs: registry.counters(
+                "store_epochs_ignored_total",
+                "Answers of the store with an invalid or an older epoch.",
+                &["reason"],
+            )?,
+        })
+    }
+}
+
 /// Metrics of the upstream beside the node.
 #[derive(Debug, Clone)]
 pub struct UpstreamMetrics {
@@ -89,11 +124,7 @@
                 &["reason"],
             )?,
             retries: registry.counters("retries_total", "Requests sent once more.", &["reason"])?,
-            store_calls: registry.counters(
-                "store_calls_total",
-                "Calls of the store.",
-                &["call", "outcome"],
-            )?,
+            store: StoreMetrics::new(&registry)?,
             latency: registry.histogram(
                 "call_seconds",
                 "Time from a call to its answer.",
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -13,7 +13,7 @@
 use super::serve::{self, Clients};
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
-use super::{control, exchange, store};
+use super::{control, epoch, exchange, store};
 use crate::decide::members::Record;
 use crate::platform::Platform;
 
@@ -155,7 +155,9 @@
                 return;
             };
             let Ok(bytes) = serde_json::to_vec(&record) else { return };
-            if let Err(err) = shared.platform.put_record(&shared.settings.node, bytes).await {
+            let answer = shared.platform.put_record(&shared.settings.node, bytes).await;
+            epoch::observe_answer(shared, &answer.epoch);
+            if let Err(err) = answer.result {
                 // Without it, the next incarnation waits for a heartbeat of the upstream.
                 shared.log(&Event::StoreLost { reason: &err.to_string() });
             }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -24,7 +24,7 @@
 use crate::decide::members::{Merged, Record, Table, UpstreamState};
 use crate::decide::parents::ParentTracker;
 use crate::decide::split::Split;
-use crate::platform::Platform;
+use crate::platform::{Platform, StoreEpoch};
 use crate::request::call::Root;
 
 /// Timeout for connecting to the upstream, which is on the same machine.
@@ -103,6 +103,8 @@
     pub leaving: AtomicBool,
     /// Whether the store, or another node, has been reached since the start.
     pub synced: AtomicBool,
+    /// Latest known epoch of the store.
+    pub store_epoch: watch::Sender<Option<StoreEpoch>>,
     configuration: RwLock<Option<Arc<Configuration>>>,
 }
 
@@ -150,6 +152,7 @@
             stopping: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             synced: AtomicBool::new(false),
+            store_epoch: watch::Sender::new(None),
             configuration: RwLock::new(None),
             platform,
             settings,
@@ -188,23 +191,28 @@
         self.configuration().map_or(0, |active| active.version)
     }
 
-    /// Validates a configuration and activates it if it is newer than the active one.
-    pub fn apply_configuration(&self, bytes: &[u8], from: &str) {
+    /// Validates a configuration and activates it if it is newer than the active one. Returns its version; `None` if it
+    /// is invalid.
+    pub fn apply_configuration(&self, bytes: &[u8], from: &str) -> Option<u64> {
         let configuration = match self.platform.decode_configuration(bytes) {
             Ok(configuration) => configuration,
-            Err(reason) => return self.log(&Event::ConfigurationRefused { from, reason: &reason }),
+            Err(reason) => {
+                self.log(&Event::ConfigurationRefused { from, reason: &reason });
+                return None;
+            }
         };
         let version = configuration.version;
         {
             let mut active = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
             if active.as_ref().is_some_and(|active| active.version >= version) {
-                return;
+                return Some(version);
             }
             *active = Some(Arc::new(configuration));
         }
         self.metrics.version.set(version as i64);
         self.log(&Event::ConfigurationApplied { version, from });
         self.exchange_now.notify_one();
+        Some(version)
     }
 
     /// Reacts to a change of the member table: logs it and passes it on.
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -8,10 +8,12 @@
 
 use super::events::Event;
 use super::shared::{Shared, lock};
-use super::{announced, control};
-use crate::decide::members::{MemberUpdate, Record, SavedUpstream};
+use super::{announced, control, epoch};
+use crate::decide::members::{MemberUpdate, Merged, Record, SavedUpstream};
 use crate::decide::notice::Notice;
-use crate::platform::{AnnouncedState, Heartbeat, Platform, StoreError};
+use crate::platform::{
+    AnnouncedState, Answer, ConfigurationRead, Heartbeat, Platform, StoreEpoch, StoreError,
+};
 
 /// Timeout of a long poll: long as each call is billed, but bounded as a new call detects a dead connection.
 const POLL_TIMEOUT: Duration = Duration::from_secs(12);
@@ -36,7 +38,7 @@
     }
 
     async fn failed<P: Platform>(&mut self, shared: &Shared<P>, call: &str, err: &StoreError) {
-        shared.metrics.store_calls.with_label_values(&[call, "failed"]).inc();
+        shared.metrics.store.calls.with_label_values(&[call, "failed"]).inc();
         if self.failing_since.is_none() {
             self.failing_since = Some(shared.now());
             shared.log(&Event::StoreLost { reason: &err.to_string() });
@@ -46,7 +48,7 @@
     }
 
     fn succeeded<P: Platform>(&mut self, shared: &Shared<P>, call: &str) {
-        shared.metrics.store_calls.with_label_values(&[call, "done"]).inc();
+        shared.metrics.store.calls.with_label_values(&[call, "done"]).inc();
         self.pause = FIRST_PAUSE;
         if let Some(failing_since) = self.failing_since.take() {
             let outage = shared.now().saturating_duration_since(failing_since);
@@ -60,19 +62,16 @@
     let mut backoff = Backoff::new();
     let mut next = None;
     loop {
-        let read = match next {
+        let answer = match next {
             None => shared.platform.latest_configuration().await,
             Some(from) => shared.platform.follow_configuration(from, POLL_TIMEOUT).await,
         };
-        match read {
-            Ok((found, end)) => {
+        epoch::observe_answer(&shared, &answer.epoch);
+        match answer.result {
+            Ok(read) => {
                 backoff.succeeded(&shared, "configuration");
-                if let Some(found) = found {
-                    shared.apply_configuration(&found.bytes, "store");
-                    next = Some(found.next_offset.max(end));
-                } else {
-                    next = Some(end);
-                }
+                apply_read(&shared, &read, next, answer.epoch.valid());
+                next = Some(read.next_offset);
                 if shared.configuration().is_none() {
                     next = None;
                     tokio::time::sleep(FIRST_PAUSE).await;
@@ -84,15 +83,37 @@
     }
 }
 
+/// Applies what was read from `offset` on, and logs it unless nothing was waiting there.
+fn apply_read<P: Platform>(
+    shared: &Shared<P>,
+    read: &ConfigurationRead,
+    offset: Option<u64>,
+    epoch: Option<StoreEpoch>,
+) {
+    let document = read.document.as_ref();
+    let found = document.and_then(|bytes| shared.apply_configuration(bytes, "store"));
+    if offset != Some(read.next_offset) {
+        shared.log(&Event::ConfigurationRead {
+            offset,
+            next_offset: read.next_offset,
+            epoch: epoch.map(|epoch| epoch.0),
+            found,
+            version: shared.version(),
+        });
+    }
+}
+
 /// Joins the membership: reads the records of other nodes, and stores this node's own.
 pub async fn join<P: Platform>(shared: Arc<Shared<P>>) {
     let mut backoff = Backoff::new();
     loop {
-        match shared.platform.node_records().await {
+        let Answer { epoch, result } = shared.platform.node_records().await;
+        epoch::observe_answer(&shared, &epoch);
+        match result {
             Ok(records) => {
                 backoff.succeeded(&shared, "records");
                 restore_upstream(&shared, &records);
-                merge_records(&shared, &records);
+                merge_records(&shared, &records, epoch.valid());
                 break;
             }
             Err(err) => backoff.failed(&shared, "records", &err).await,
@@ -100,9 +121,18 @@
     }
     loop {
         let own = lock(&shared.members).own().map(|own| own.record.clone());
-        let Some(Ok(bytes)) = own.map(|own| serde_json::to_vec(&own)) else { return };
-        match shared.platform.put_record(&shared.settings.node, bytes).await {
-            Ok(()) => break backoff.succeeded(&shared, "keep"),
+        let Some(own) = own else { return };
+        let Ok(bytes) = serde_json::to_vec(&own) else { return };
+        let Answer { epoch, result } =
+            shared.platform.put_record(&shared.settings.node, bytes).await;
+        epoch::observe_answer(&shared, &epoch);
+        match result {
+            Ok(()) => {
+                backoff.succeeded(&shared, "keep");
+                let epoch = epoch.valid().map(|epoch| epoch.0);
+                shared.log(&Event::RecordWritten { serial: own.serial, epoch });
+                break;
+            }
             Err(err) => backoff.failed(&shared, "keep", &err).await,
         }
     }
@@ -110,8 +140,10 @@
     shared.exchange_now.notify_one();
     for delay in REREAD_DELAYS {
         tokio::time::sleep(delay).await;
-        match shared.platform.node_records().await {
-            Ok(records) => merge_records(&shared, &records),
+        let Answer { epoch, result } = shared.platform.node_records().await;
+        epoch::observe_answer(&shared, &epoch);
+        match result {
+            Ok(records) => merge_records(&shared, &records, epoch.valid()),
             Err(err) => shared.log(&Event::StoreLost { reason: &err.to_string() }),
         }
     }
@@ -161,8 +193,13 @@
     announced::apply_notice(shared, &notice, "store");
 }
 
-fn merge_records<P: Platform>(shared: &Shared<P>, records: &[bytes::Bytes]) {
+fn merge_records<P: Platform>(
+    shared: &Shared<P>,
+    records: &[bytes::Bytes],
+    epoch: Option<StoreEpoch>,
+) {
     let now = shared.now();
+    let mut changed = 0;
     for record in records {
         // Records in another version's format are skipped; their nodes are learned through exchanges.
         let Ok(record) = serde_json::from_slice::<Record>(record) else { continue };
@@ -174,6 +211,9 @@
             measurements: None,
         };
         let result = lock(&shared.members).merge(update, None, now);
+        changed += usize::from(result == Merged::Changed);
         shared.membership_changed(result, &node, "store");
     }
+    let epoch = epoch.map(|epoch| epoch.0);
+    shared.log(&Event::MembersRead { records: records.len(), changed, epoch });
 }
