Bind a position in the store's log to the epoch in which it was learned

Callers saw: a change that was acknowledged right after the store was restored from an older copy was not in force; routes that it added got 404 until the next change.

Cause: a restore gives offsets out again. A node went on from the offset that it had learned before. Where the log had grown back to just that offset, its read got no 410 and waited, and the version below was never read. Reads that wait carry no epoch either, so checking it in answers alone would be too late.

Change: the offset is kept with the epoch of its answer and dropped, for a read of the newest version, as soon as an answer names any other epoch. After a failed call the first read doesn't wait for records, so its answer comes at once and carries the epoch.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -5,6 +5,7 @@
 pub mod choose;
 pub mod demand;
 pub mod epoch;
+pub mod follow;
 pub mod members;
 pub mod meter;
 pub mod notice;
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -9,6 +9,7 @@
 use super::events::Event;
 use super::shared::{Shared, lock};
 use super::{announced, control, epoch};
+use crate::decide::follow::{Follower, NextRead};
 use crate::decide::members::{MemberUpdate, Merged, Record, SavedUpstream};
 use crate::decide::notice::Notice;
 use crate::platform::{
@@ -60,25 +61,34 @@
 /// Follows the configuration until the task is aborted.
 pub async fn follow_configuration<P: Platform>(shared: Arc<Shared<P>>) {
     let mut backoff = Backoff::new();
-    let mut next = None;
+    let mut follower = Follower::default();
     loop {
-        let answer = match next {
-            None => shared.platform.latest_configuration().await,
-            Some(from) => shared.platform.follow_configuration(from, POLL_TIMEOUT).await,
+        let (offset, answer) = match follower.next_read() {
+            NextRead::Newest => (None, shared.platform.latest_configuration().await),
+            NextRead::Confirm(from) => {
+                (Some(from), shared.platform.follow_configuration(from, Duration::ZERO).await)
+            }
+            NextRead::Wait(from) => {
+                (Some(from), shared.platform.follow_configuration(from, POLL_TIMEOUT).await)
+            }
         };
+        let epoch = answer.epoch.valid();
         epoch::observe_answer(&shared, &answer.epoch);
         match answer.result {
             Ok(read) => {
                 backoff.succeeded(&shared, "configuration");
-                apply_read(&shared, &read, next, answer.epoch.valid());
-                next = Some(read.next_offset);
+                apply_read(&shared, &read, offset, epoch);
+                follower.succeeded(epoch, read.next_offset);
                 if shared.configuration().is_none() {
-                    next = None;
+                    follower.reset();
                     tokio::time::sleep(FIRST_PAUSE).await;
                 }
             }
-            Err(StoreError::Truncated) => next = None,
-            Err(err) => backoff.failed(&shared, "configuration", &err).await,
+            Err(StoreError::Truncated) => follower.reset(),
+            Err(err) => {
+                follower.unconfirm();
+                backoff.failed(&shared, "configuration", &err).await;
+            }
         }
     }
 }
--- /dev/null
+++ b/components/mesh/tests/follow.rs
@@ -0,0 +1,80 @@
+//! Reading on in a log that is restored from an older copy between reads.
+
+use googletest::prelude::*;
+use mesh::decide::epoch::{self, EpochChange};
+use mesh::decide::follow::{Follower, NextRead};
+use mesh::platform::StoreEpoch;
+
+const FIRST: Option<StoreEpoch> = Some(StoreEpoch(1));
+const SECOND: Option<StoreEpoch> = Some(StoreEpoch(2));
+
+fn following(epoch: Option<StoreEpoch>, offset: u64) -> Follower {
+    let mut follower = Follower::default();
+    expect_that!(follower.next_read(), eq(NextRead::Newest));
+    follower.succeeded(epoch, offset);
+    expect_that!(follower.next_read(), eq(NextRead::Wait(offset)));
+    follower
+}
+
+/// Guards against a wait at an offset that was given out again while the store could not be asked.
+#[gtest]
+fn after_a_failed_read_the_position_is_confirmed_without_waiting() {
+    let mut follower = following(FIRST, 3);
+    follower.unconfirm();
+    expect_that!(follower.next_read(), eq(NextRead::Confirm(3)));
+    follower.succeeded(FIRST, 3);
+    expect_that!(follower.next_read(), eq(NextRead::Wait(3)));
+}
+
+/// Guards against a position that is kept in a log that is shorter, as long, or longer than the one it was learned in.
+#[gtest]
+fn a_position_is_dropped_in_another_epoch() {
+    for next in [3, 4, 9] {
+        let mut follower = following(FIRST, 3);
+        follower.succeeded(SECOND, next);
+        expect_that!(follower.next_read(), eq(NextRead::Newest));
+        follower.succeeded(SECOND, next);
+        expect_that!(follower.next_read(), eq(NextRead::Wait(next)));
+    }
+    let mut follower = following(FIRST, 3);
+    follower.reset();
+    expect_that!(follower.next_read(), eq(NextRead::Newest));
+}
+
+/// Guards against trust in an epoch that falls, jumps, is missing or comes back; each costs one more read.
+#[gtest]
+fn any_other_epoch_drops_the_position() {
+    let epochs = [None, FIRST, SECOND, Some(StoreEpoch(9)), Some(StoreEpoch(u64::MAX))];
+    for (before, after) in epochs.iter().flat_map(|before| epochs.map(|after| (*before, after))) {
+        let mut follower = following(before, 3);
+        follower.succeeded(after, 5);
+        let expected = if before == after { NextRead::Wait(5) } else { NextRead::Newest };
+        expect_that!(follower.next_read(), eq(expected), "{before:?} {after:?}");
+    }
+}
+
+#[gtest]
+fn a_store_without_epochs_is_read_on() {
+    let mut follower = following(None, 3);
+    follower.succeeded(None, 4);
+    expect_that!(follower.next_read(), eq(NextRead::Wait(4)));
+}
+
+#[gtest]
+fn epochs_only_rise() {
+    let latest = Some(StoreEpoch(4));
+    expect_that!(epoch::compare(None, StoreEpoch(4)), eq(EpochChange::First));
+    expect_that!(epoch::compare(latest, StoreEpoch(4)), eq(EpochChange::Same));
+    expect_that!(epoch::compare(latest, StoreEpoch(6)), eq(EpochChange::Restored(StoreEpoch(4))));
+    expect_that!(epoch::compare(latest, StoreEpoch(3)), eq(EpochChange::Older(StoreEpoch(4))));
+}
+
+#[gtest]
+fn only_digits_are_an_epoch() {
+    for text in ["0", "7", "18446744073709551615"] {
+        expect_that!(text.parse::<StoreEpoch>().map(|epoch| epoch.to_string()), ok(eq(text)));
+    }
+    for text in ["", "-1", "+1", "1.0", "1e3", "0x1", "18446744073709551616", "one", "1,2"] {
+        expect_that!(text.parse::<StoreEpoch>(), err(anything()), "{text}");
+    }
+}
