Write a node's record again after a restore of the store

Callers would have seen 503 at a node that starts after a restore, and that its upstream gets nothing.

Cause: a node writes its record once, when it starts. A restore from a copy of before loses it, and the nodes that start then find nobody; those that run don't read the records, so that neither side ever hears of the other.

Evidence: a_node_that_starts_after_a_restore_knows_the_nodes_whose_records_were_lost timed out before (30 s) and passes now.

--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -24,6 +24,9 @@
 /// Delays before the records are read again at startup, as other nodes may be starting at the same time.
 const REREAD_DELAYS: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_500)];
 
+/// Time over which the nodes spread the writes of their records after a restore of the store.
+const REWRITE_SPREAD: Duration = Duration::from_secs(1);
+
 /// Age up to which the upstream state saved at the last shutdown is used: a restart takes less.
 const SAVED_STATE_MAX_AGE: Duration = Duration::from_secs(6);
 
@@ -113,7 +116,8 @@
     }
 }
 
-/// Joins the membership: reads the records of other nodes, and stores this node's own.
+/// Joins the membership: reads the records of other nodes, and keeps this node's own in the store until the task is
+/// aborted.
 pub async fn join<P: Platform>(shared: Arc<Shared<P>>) {
     let mut backoff = Backoff::new();
     loop {
@@ -129,23 +133,7 @@
             Err(err) => backoff.failed(&shared, "records", &err).await,
         }
     }
-    loop {
-        let own = lock(&shared.members).own().map(|own| own.record.clone());
-        let Some(own) = own else { return };
-        let Ok(bytes) = serde_json::to_vec(&own) else { return };
-        let Answer { epoch, result } =
-            shared.platform.put_record(&shared.settings.node, bytes).await;
-        epoch::observe_answer(&shared, &epoch);
-        match result {
-            Ok(()) => {
-                backoff.succeeded(&shared, "keep");
-                let epoch = epoch.valid().map(|epoch| epoch.0);
-                shared.log(&Event::RecordWritten { serial: own.serial, epoch });
-                break;
-            }
-            Err(err) => backoff.failed(&shared, "keep", &err).await,
-        }
-    }
+    let mut written = write_record(&shared, &mut backoff).await;
     shared.synced.store(true, Ordering::Relaxed);
     shared.exchange_now.notify_one();
     for delay in REREAD_DELAYS {
@@ -157,6 +145,40 @@
             Err(err) => shared.log(&Event::StoreLost { reason: &err.to_string() }),
         }
     }
+    let mut epochs = shared.store_epoch.subscribe();
+    // Fails only without a sender, which is part of `shared`.
+    while let Ok(latest) = epochs.wait_for(|latest| *latest > written).await.map(|latest| *latest) {
+        tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+        // The answer may be of before the restore, but a store whose epochs fall is not written to for ever.
+        if write_record(&shared, &mut backoff).await < latest {
+            write_record(&shared, &mut backoff).await;
+        }
+        written = latest;
+    }
+}
+
+/// Writes this node's record to the store, and returns the epoch in which it was written.
+async fn write_record<P: Platform>(
+    shared: &Shared<P>,
+    backoff: &mut Backoff,
+) -> Option<StoreEpoch> {
+    loop {
+        let own = lock(&shared.members).own().map(|own| own.record.clone())?;
+        let bytes = serde_json::to_vec(&own).ok()?;
+        let Answer { epoch, result } =
+            shared.platform.put_record(&shared.settings.node, bytes).await;
+        epoch::observe_answer(shared, &epoch);
+        let epoch = epoch.valid();
+        match result {
+            Ok(()) => {
+                backoff.succeeded(shared, "keep");
+                let Record { serial, .. } = own;
+                shared.log(&Event::RecordWritten { serial, epoch: epoch.map(|epoch| epoch.0) });
+                return epoch;
+            }
+            Err(err) => backoff.failed(shared, "keep", &err).await,
+        }
+    }
 }
 
 /// Restores the upstream state that the previous incarnation of this node saved when it was stopped.
