Send everything to a peer that has restarted since the last exchange

Callers would have seen 503 at a restarted node that the store refuses, for as long as the store refused it.

Cause, of the same class as the lost changes after a restore: a cursor is trusted beyond what it points into. The node that starts an exchange sends what has changed since its last one with that peer. If the answer came from a new incarnation of the peer, the cursor took over that incarnation but kept the revision that its predecessor had applied, so that the peer never got the older records.

Change: such an answer resets the cursor, and the exchange is repeated at once.

Evidence: a_restarted_node_refused_by_the_store_learns_all_from_its_peers timed out before (30 s) and passes now.

--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -104,7 +104,9 @@
         round += 1;
         refresh(&shared, now);
         for target in targets(&shared, round, now) {
-            exchange_with(&shared, &mut cursors, &target).await;
+            if exchange_with(&shared, &mut cursors, &target).await == Exchanged::Restarted {
+                exchange_with(&shared, &mut cursors, &target).await;
+            }
         }
         update_shares(&shared);
         last = shared.now();
@@ -131,18 +133,29 @@
     serde_json::to_vec(&build_message(shared, &reader, &region, cursor)).ok()
 }
 
+/// Outcome of an exchange.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exchanged {
+    /// Both sides know all changes.
+    Complete,
+    /// The other node has restarted, and was sent only what had changed for its predecessor.
+    Restarted,
+    /// No answer.
+    Failed,
+}
+
 async fn exchange_with<P: Platform>(
     shared: &Arc<Shared<P>>,
     cursors: &mut Cursors,
     target: &Record,
-) {
+) -> Exchanged {
     let cursor = cursors.entry(target.node.clone()).or_default();
     if cursor.incarnation != target.incarnation {
         *cursor = Cursor { incarnation: target.incarnation, ..Cursor::default() };
     }
     let message = build_message(shared, &target.node, &target.region, *cursor);
     let (sent, offered) = (message.revision, message.configuration.is_some());
-    let Ok(body) = serde_json::to_vec(&message) else { return };
+    let Ok(body) = serde_json::to_vec(&message) else { return Exchanged::Failed };
     let result = tokio::time::timeout(EXCHANGE_TIMEOUT, send(shared, target, body)).await;
     let now = shared.now();
     let answer = match result.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
@@ -151,18 +164,21 @@
             shared.metrics.failed_exchanges.inc();
             shared.with_peer(&target.node, |peer| peer.record_failure(now));
             shared.log(&Event::PeerLost { peer: &target.node, reason: &reason });
-            return;
+            return Exchanged::Failed;
         }
     };
     shared.with_peer(&target.node, |peer| peer.record_answer(now));
     shared.synced.store(true, Ordering::Relaxed);
     let version = answer.version;
+    let restarted = cursor.sent > 0 && cursor.incarnation != answer.incarnation;
+    let sent = if restarted { 0 } else { sent };
     *cursor = Cursor { incarnation: answer.incarnation, seen: answer.revision, sent, version };
     apply(shared, answer);
     // A node that was offered the newer configuration and still has an older one has rejected it.
     if version < shared.version() && !offered {
         shared.exchange_now.notify_one();
     }
+    if restarted { Exchanged::Restarted } else { Exchanged::Complete }
 }
 
 async fn send<P: Platform>(
