Use saved state of an upstream only in the epoch of the store that it is of

Upstreams would have got requests after a node had acknowledged that they leave (DRAIN): the node is stopped twice within seconds, the store is restored from a copy between the two, and the second start takes up the state of the first stop, in which the upstream was ready.

Cause: what a stop saves was trusted to be the last that was saved.

Change: saved state names the epoch of the store; read in another one, it is used only if it says that the upstream is leaving, which holds for its incarnation for ever. Otherwise the node waits for a heartbeat, as after a kill.

--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -9,6 +9,7 @@
 use units::Rate;
 
 use super::queue::Load;
+use crate::platform::StoreEpoch;
 
 /// Time without updates of a node after which calls avoid it.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
@@ -76,6 +77,9 @@
     /// Milliseconds since the epoch when the node was stopped.
     #[serde(rename = "at")]
     pub stopped_ms: u64,
+    /// Epoch of the store then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store_epoch: Option<StoreEpoch>,
 }
 
 /// Rates by route name.
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -145,7 +145,8 @@
         shared.publish_upstream();
         let record = {
             let rate_limit = shared.limiter.announced_limit();
-            let saved = lock(&shared.upstream).saved_state(shared.moment(), rate_limit);
+            let epoch = *shared.store_epoch.borrow();
+            let saved = lock(&shared.upstream).saved_state(shared.moment(), rate_limit, epoch);
             lock(&shared.members)
                 .own()
                 .map(|own| Record { saved_upstream: saved, ..own.record.clone() })
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -126,7 +126,7 @@
         match result {
             Ok(records) => {
                 backoff.succeeded(&shared, "records");
-                restore_upstream(&shared, &records);
+                restore_upstream(&shared, &records, epoch.valid());
                 merge_records(&shared, &records, epoch.valid());
                 break;
             }
@@ -182,16 +182,23 @@
 }
 
 /// Restores the upstream state that the previous incarnation of this node saved when it was stopped.
-fn restore_upstream<P: Platform>(shared: &Shared<P>, records: &[bytes::Bytes]) {
+fn restore_upstream<P: Platform>(
+    shared: &Shared<P>,
+    records: &[bytes::Bytes],
+    epoch: Option<StoreEpoch>,
+) {
     let decoded = records.iter().filter_map(|record| serde_json::from_slice::<Record>(record).ok());
     let last = decoded
         .filter(|record| record.node == shared.settings.node)
         .max_by_key(|record| record.incarnation);
     let saved = last.and_then(|record| record.saved_upstream);
-    let recent = saved.filter(|saved| {
-        shared.wall_ms().saturating_sub(saved.stopped_ms) < SAVED_STATE_MAX_AGE.as_millis() as u64
+    let usable = saved.filter(|saved| {
+        let age = shared.wall_ms().saturating_sub(saved.stopped_ms);
+        // After a restore of the store, a later state may be lost. Then only a departure is certain still to hold.
+        let latest = saved.store_epoch == epoch || saved.leaving_ms.is_some();
+        age < SAVED_STATE_MAX_AGE.as_millis() as u64 && latest
     });
-    let Some(saved) = recent else { return };
+    let Some(saved) = usable else { return };
     let SavedUpstream { id, started_ms, slots, sequence, rate_limit, leaving_ms, .. } = saved;
     let heartbeat = Heartbeat {
         id,
--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -6,7 +6,7 @@
 use units::Rate;
 
 use crate::decide::members::{SavedUpstream, UpstreamState};
-use crate::platform::{AnnouncedState, Announcement, Heartbeat};
+use crate::platform::{AnnouncedState, Announcement, Heartbeat, StoreEpoch};
 
 /// Missed heartbeats after which a different incarnation is accepted even if it started earlier.
 const MISSED_HEARTBEATS: u32 = 3;
@@ -125,7 +125,12 @@
     }
 
     /// The state to save for the next incarnation of the node; `None` if the upstream is unknown.
-    pub fn saved_state(&self, now: Moment, rate_limit: Option<Rate>) -> Option<SavedUpstream> {
+    pub fn saved_state(
+        &self,
+        now: Moment,
+        rate_limit: Option<Rate>,
+        store_epoch: Option<StoreEpoch>,
+    ) -> Option<SavedUpstream> {
         let Heartbeat { id, started_ms, slots, sequence, .. } = self.heartbeat.as_ref()?;
         let leaving_for = self.leaving_for(now);
         Some(SavedUpstream {
@@ -136,6 +141,7 @@
             rate_limit: rate_limit.map(|rate| rate.0),
             leaving_ms: leaving_for.map(|age| now.wall_ms.saturating_sub(age.as_millis() as u64)),
             stopped_ms: now.wall_ms,
+            store_epoch,
         })
     }
 
