Serve by the store's configuration only once it is compared with a peer's

Callers saw 404 for a route that had been confirmed: at a node that restarts while the store has an older copy, from the moment it read that copy until its first exchange.

Cause: a starting node took the store for the latest there is and was ready with it at once. After a restore, only the nodes that kept running know the newer version.

Change: a starting node answers 503 (not run, with Retry-After) and is not ready until another node has told a version that is not newer than its own, or a second has passed, or it knows of no other node. Until then it asks a near node in each round, not only its delegate.

Evidence: a_node_that_starts_with_an_older_copy_does_not_fall_behind_its_peers got 404 before and none now.

--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -273,6 +273,11 @@
         self.entries.get(&self.own).map(|entry| &entry.member)
     }
 
+    /// Whether any other node is known.
+    pub fn has_others(&self) -> bool {
+        self.entries.len() > 1
+    }
+
     /// Number of nodes whose upstreams accept requests.
     pub fn count_ready(&self) -> usize {
         let ready = |entry: &&Entry| entry.member.record.state == UpstreamState::Ready;
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -125,7 +125,7 @@
         Cursor { sent, version, seen: message.revision, incarnation: message.incarnation }
     };
     apply(shared, message);
-    shared.synced.store(true, Ordering::Relaxed);
+    shared.compared_version(version);
     if version > shared.version() {
         // The sender has a newer configuration, which this node gets in its next exchange.
         shared.exchange_now.notify_one();
@@ -168,12 +168,12 @@
         }
     };
     shared.with_peer(&target.node, |peer| peer.record_answer(now));
-    shared.synced.store(true, Ordering::Relaxed);
     let version = answer.version;
     let restarted = cursor.sent > 0 && cursor.incarnation != answer.incarnation;
     let sent = if restarted { 0 } else { sent };
     *cursor = Cursor { incarnation: answer.incarnation, seen: answer.revision, sent, version };
     apply(shared, answer);
+    shared.compared_version(version);
     // A node that was offered the newer configuration and still has an older one has rejected it.
     if version < shared.version() && !offered {
         shared.exchange_now.notify_one();
@@ -406,7 +406,7 @@
     } else {
         Vec::new()
     };
-    if round.is_multiple_of(RANDOM_ROUNDS) {
+    if round.is_multiple_of(RANDOM_ROUNDS) || !shared.synced.load(Ordering::Relaxed) {
         others.retain(|record| record.region == own.region);
         if !others.is_empty() {
             targets.push(others.swap_remove(rand::random_range(0..others.len())));
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -101,7 +101,8 @@
     pub stopping: watch::Sender<bool>,
     /// Set late in the shutdown, when other nodes must not send here and announcements are refused.
     pub leaving: AtomicBool,
-    /// Whether the store, or another node, has been reached since the start.
+    /// Whether this node has compared its version of the configuration with another node since the start, or knows of
+    /// none that answers.
     pub synced: AtomicBool,
     /// Latest known epoch of the store.
     pub store_epoch: watch::Sender<Option<StoreEpoch>>,
@@ -186,6 +187,20 @@
         self.configuration.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// The active configuration, once requests may be handled by it: what the store has may be older than what other
+    /// nodes know.
+    pub fn serving_configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration().filter(|_| self.synced.load(Ordering::Relaxed))
+    }
+
+    /// Records that another node has told its version of the configuration, which is now applied if it was newer.
+    pub fn compared_version(&self, version: u64) {
+        // A node without a configuration, which has version 0, confirms nothing.
+        if version > 0 && version <= self.version() {
+            self.synced.store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Version of the active configuration; 0 if there is none.
     pub fn version(&self) -> u64 {
         self.configuration().map_or(0, |active| active.version)
@@ -321,7 +336,7 @@
             return Err("no configuration");
         }
         if !self.synced.load(Ordering::Relaxed) {
-            return Err("no other nodes known");
+            return Err("configuration not compared with other nodes");
         }
         Ok(())
     }
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -21,9 +21,11 @@
 /// First and longest pause between retries: a store that is back is noticed within two of the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const MAX_PAUSE: Duration = Duration::from_millis(900);
-/// Delays before the records are read again at startup, as other nodes may be starting at the same time.
+/// Delays before the records are read again at startup.
 const REREAD_DELAYS: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_500)];
 
+/// Time in which another node has to answer before this one serves by what the store has.
+const COMPARE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time over which the nodes spread the writes of their records after a restore of the store.
 const REWRITE_SPREAD: Duration = Duration::from_secs(1);
 
@@ -134,17 +136,14 @@
         }
     }
     let mut written = write_record(&shared, &mut backoff).await;
-    shared.synced.store(true, Ordering::Relaxed);
     shared.exchange_now.notify_one();
-    for delay in REREAD_DELAYS {
-        tokio::time::sleep(delay).await;
-        let Answer { epoch, result } = shared.platform.node_records().await;
-        epoch::observe_answer(&shared, &epoch);
-        match result {
-            Ok(records) => merge_records(&shared, &records, epoch.valid()),
-            Err(err) => shared.log(&Event::StoreLost { reason: &err.to_string() }),
+    let compared = async {
+        if lock(&shared.members).has_others() {
+            tokio::time::sleep(COMPARE_TIMEOUT).await;
         }
-    }
+        shared.synced.store(true, Ordering::Relaxed);
+    };
+    tokio::join!(compared, reread_records(&shared));
     let mut epochs = shared.store_epoch.subscribe();
     // Fails only without a sender, which is part of `shared`.
     while let Ok(latest) = epochs.wait_for(|latest| *latest > written).await.map(|latest| *latest) {
@@ -157,6 +156,19 @@
     }
 }
 
+/// Reads the records again, as other nodes may be starting at the same time.
+async fn reread_records<P: Platform>(shared: &Shared<P>) {
+    for delay in REREAD_DELAYS {
+        tokio::time::sleep(delay).await;
+        let Answer { epoch, result } = shared.platform.node_records().await;
+        epoch::observe_answer(shared, &epoch);
+        match result {
+            Ok(records) => merge_records(shared, &records, epoch.valid()),
+            Err(err) => shared.log(&Event::StoreLost { reason: &err.to_string() }),
+        }
+    }
+}
+
 /// Writes this node's record to the store, and returns the epoch in which it was written.
 async fn write_record<P: Platform>(
     shared: &Shared<P>,
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -88,7 +88,7 @@
     let Some(id) = parts.headers.get(&shared.platform.headers().id).cloned() else {
         return Payload::empty(StatusCode::BAD_REQUEST);
     };
-    let Some(configuration) = shared.configuration() else {
+    let Some(configuration) = shared.serving_configuration() else {
         return refused(
             &shared,
             &id,
