--- a/components/mesh/src/decide/follow.rs
+++ b/components/mesh/src/decide/follow.rs
@@ -52,7 +52,7 @@
         self.confirmed = !moved;
     }
 
-    /// The read failed, or another node knows a later epoch: the store may have been restored since.
+    /// The read failed: the store may have been restored since.
     pub fn unconfirm(&mut self) {
         self.confirmed = false;
     }
--- a/components/mesh/src/process/epoch.rs
+++ b/components/mesh/src/process/epoch.rs
@@ -10,11 +10,11 @@
     match seen {
         AnswerEpoch::Missing => {}
         AnswerEpoch::Invalid(reason) => ignored(shared, "invalid", reason),
-        AnswerEpoch::Valid(seen) => observe(shared, *seen, "store"),
+        AnswerEpoch::Valid(seen) => observe(shared, *seen),
     }
 }
 
-fn observe<P: Platform>(shared: &Shared<P>, seen: StoreEpoch, from: &str) {
+fn observe<P: Platform>(shared: &Shared<P>, seen: StoreEpoch) {
     let mut change = EpochChange::Same;
     shared.store_epoch.send_if_modified(|latest| {
         change = epoch::compare(*latest, seen);
@@ -30,7 +30,7 @@
         EpochChange::Restored(before) => {
             shared.metrics.store.epoch.set(seen.0 as i64);
             shared.metrics.store.restores.inc();
-            shared.log(&Event::StoreRestored { before: before.0, after: seen.0, from });
+            shared.log(&Event::StoreRestored { before: before.0, after: seen.0 });
         }
         EpochChange::Older(latest) => {
             ignored(shared, "older", &format!("epoch {seen} after epoch {latest}"));
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -61,8 +61,6 @@
     StoreRestored {
         before: u64,
         after: u64,
-        /// The store, or the node that said so.
-        from: &'a str,
     },
     /// An answer names no valid epoch, or an older one than another answer.
     StoreEpochIgnored {
