Log a second document of the version in force

Two documents of one version leave nodes with different routes, as each keeps the one that it read first, and no line said so. It is refused and logged now.

Evidence: another_document_of_the_version_in_force_is_refused timed out before and passes now.

--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -219,10 +219,17 @@
         let version = configuration.version;
         {
             let mut active = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
-            if active.as_ref().is_some_and(|active| active.version >= version) {
-                return Some(version);
+            match active.as_ref() {
+                Some(active) if active.version == version => {
+                    if active.source != configuration.source {
+                        let reason = format!("version {version} is in force with other contents");
+                        self.log(&Event::ConfigurationRefused { from, reason: &reason });
+                    }
+                    return Some(version);
+                }
+                Some(active) if active.version > version => return Some(version),
+                _ => *active = Some(Arc::new(configuration)),
             }
-            *active = Some(Arc::new(configuration));
         }
         self.metrics.version.set(version as i64);
         self.log(&Event::ConfigurationApplied { version, from });
