--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,8 +5,9 @@
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
 use std::path::Path;
+use std::time::Duration;
 
-use emulator::recorder::Event;
+use emulator::recorder::{Event, Outcome};
 use emulator::schedule::Fault;
 use emulator::soak::{self, Report};
 
@@ -30,6 +31,12 @@
 /// Promises that upstreams check from what they announced; a slow machine only sends them less.
 const ANNOUNCED: [&str; 2] = ["rate limits kept", "no new work after an answer of who leaves"];
 
+/// Nodes are killed and stopped in the seconds that the store loses; later it loses others, without restarts.
+const RESTORES: &str =
+    "store-restored@1000+3000#0,kill@1500+800#2,stop@2000+0#5,store-restored@14000+2500#3";
+/// Time after a change by which it is in force at every node, on the slowest machine.
+const LONGEST_DELAY: Duration = Duration::from_secs(9);
+
 async fn run(net: u8, schedule: &str, zones: u8) -> Report {
     let program = Path::new(env!("CARGO_BIN_EXE_almondknot"));
     let faults: Vec<Fault> = schedule.split(',').map(|text| text.parse().unwrap()).collect();
@@ -59,3 +66,28 @@
     expect_held(&report, &TIME_INDEPENDENT);
     expect_held(&report, &ANNOUNCED);
 }
+
+/// Guards against a change that is never read, as the store was restored and gave its offset out again.
+#[tokio::test]
+async fn changes_around_restores_of_the_store_are_in_force_in_the_end() {
+    let report = run(92, RESTORES, 2).await;
+    expect_held(&report, &TIME_INDEPENDENT);
+    let changes = report.observations.events.iter().filter_map(|(at, event)| match event {
+        Event::Configured { extra_routes } => Some((*at, extra_routes.last()?)),
+        _ => None,
+    });
+    let (changed, route) = changes.max_by_key(|(at, _)| *at).unwrap();
+    let prefix = format!("/{route}/");
+    let probes = report.observations.requests.iter().filter(|(request, _)| {
+        request.content.path.starts_with(&prefix) && request.at > changed + LONGEST_DELAY
+    });
+    let statuses: Vec<(&str, u16)> = probes
+        .filter_map(|(request, outcome)| match outcome {
+            Some((_, Outcome::Answered { status, .. })) => Some((request.node.as_str(), *status)),
+            _ => None,
+        })
+        .collect();
+    assert!(statuses.len() > 40, "too few probes: {}", statuses.len());
+    let unknown: Vec<_> = statuses.iter().filter(|(_, status)| *status == 404).collect();
+    assert!(unknown.is_empty(), "{unknown:?}");
+}
