--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -156,7 +156,13 @@
     if let Some(Line { event: Event::StoreLost { .. }, .. }) = store {
         findings.causes.push(format!("{} had lost the store", line.node));
     }
-    findings.evidence.extend([applied, store, refused].into_iter().flatten().cloned());
+    let restored = latest(lines, line, |event| matches!(event, Event::StoreRestored { .. }));
+    let before_restore =
+        |line: &Line| restored.is_some_and(|restored| line.at_ms <= restored.at_ms);
+    if applied.is_some_and(before_restore) {
+        findings.causes.push("the store was restored from an older copy since then".to_owned());
+    }
+    findings.evidence.extend([applied, store, restored, refused].into_iter().flatten().cloned());
 }
 
 fn explain_failure(
--- a/components/explain/src/line.rs
+++ b/components/explain/src/line.rs
@@ -43,6 +43,10 @@
     StoreRecovered {
         after_ms: u64,
     },
+    StoreRestored {
+        before: u64,
+        after: u64,
+    },
     UpstreamChanged {
         id: String,
         #[serde(rename = "standing")]
@@ -206,6 +210,9 @@
             Self::StoreRecovered { after_ms } => {
                 write!(out, "store available again after {after_ms} ms")
             }
+            Self::StoreRestored { before, after } => {
+                write!(out, "store restored from an older copy: epoch {after} after {before}")
+            }
             Self::MemberChanged { member, state, from } => {
                 write!(out, "member {member} is {state}, reported by {from}")
             }
--- a/components/explain/tests/explanation.rs
+++ b/components/explain/tests/explanation.rs
@@ -47,6 +47,27 @@
     );
 }
 
+const RESTORED_STORE: &str = r#"
+{"at":100,"node":"a","event":"configuration-taken","version":3,"from":"store"}
+{"at":200,"node":"a","event":"store-restored","before":1,"after":2}
+{"at":300,"node":"a","event":"unrouted","id":"r1","host":"h","path":"/new/1","version":3}
+{"at":400,"node":"a","event":"configuration-taken","version":5,"from":"store"}
+{"at":500,"node":"a","event":"unrouted","id":"r2","host":"h","path":"/new/1","version":5}
+"#;
+
+#[gtest]
+fn a_missing_route_after_a_restore_of_the_store_is_explained_by_it() {
+    let cause = "the store was restored from an older copy since then";
+    let explanation = explain(&lines(RESTORED_STORE), "r1").unwrap();
+    expect_that!(explanation.causes, contains(eq(cause)));
+    expect_that!(
+        explanation.timeline[1].to_string(),
+        contains_substring("restored from an older copy: epoch 2 after 1")
+    );
+    let explanation = explain(&lines(RESTORED_STORE), "r2").unwrap();
+    expect_that!(explanation.causes, not(contains(eq(cause))));
+}
+
 #[gtest]
 fn other_text_and_unknown_events_are_ignored() {
     expect_that!(parse("no object"), none());
