--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -104,6 +104,15 @@
     }
 }
 
+/// A header that has a meaning with one value only.
+#[derive(Debug, Clone)]
+pub struct HeaderFlag {
+    /// Its name.
+    pub name: HeaderName,
+    /// The value with which it is set.
+    pub value: &'static str,
+}
+
 /// Names of the headers that callers and upstreams of the platform use.
 #[derive(Debug, Clone)]
 pub struct Headers {
@@ -120,7 +129,7 @@
     /// Requests per second that an upstream accepts, in answers while it limits them.
     pub rate_limit: HeaderName,
     /// Set by an upstream that is leaving.
-    pub leaving: HeaderName,
+    pub leaving: HeaderFlag,
 }
 
 /// State that an upstream announces.
--- a/components/mesh/src/process/announced.rs
+++ b/components/mesh/src/process/announced.rs
@@ -14,10 +14,7 @@
 use crate::decide::members::UpstreamState;
 use crate::decide::notice::Notice;
 use crate::decide::rate_limit::{Announced, Answer};
-use crate::platform::{Announcement, Heartbeat, Platform};
-
-/// Value of the header of an upstream that is leaving.
-const LEAVING: &str = "1";
+use crate::platform::{Announcement, HeaderFlag, Heartbeat, Platform};
 
 /// Records what an answer to a request announces that was sent at `sent_at`.
 pub fn record_answer<P: Platform>(
@@ -107,10 +104,10 @@
 }
 
 fn is_leaving<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> bool {
-    let name = &shared.platform.headers().leaving;
+    let HeaderFlag { name, value: set } = &shared.platform.headers().leaving;
     let mut leaving = false;
     for value in headers.get_all(name) {
-        if value.to_str().is_ok_and(|text| text.trim() == LEAVING) {
+        if value.to_str().is_ok_and(|text| text.trim() == *set) {
             leaving = true;
         } else {
             shared.metrics.upstream.invalid_headers.with_label_values(&[name.as_str()]).inc();
