--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -5,9 +5,10 @@
 //! regions is expensive. Each node derives the delegates from its own view, so differing views cost only a few
 //! additional messages.
 
+mod targets;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -32,12 +33,8 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 /// Delay of an exchange that an urgent change triggers, so that changes in quick succession are sent together.
 const URGENT_DELAY: Duration = Duration::from_millis(40);
-/// Rounds between exchanges with other regions.
-const REGION_ROUNDS: u64 = 2;
 /// Age at which the summary of another region is ignored.
 const SUMMARY_MAX_AGE: Duration = Duration::from_secs(8);
-/// Rounds between exchanges with a random node, which reconnect a membership that was partitioned.
-const RANDOM_ROUNDS: u64 = 10;
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay beyond the exchange interval that shows that the process was suspended.
 const MIN_SUSPENSION: Duration = Duration::from_millis(1_500);
@@ -103,7 +100,7 @@
         detect_suspension(&shared, now.saturating_duration_since(last));
         round += 1;
         refresh(&shared, now);
-        for target in targets(&shared, round, now) {
+        for target in targets::choose(&shared, round, now) {
             if exchange_with(&shared, &mut cursors, &target).await == Exchanged::Restarted {
                 exchange_with(&shared, &mut cursors, &target).await;
             }
@@ -370,47 +367,3 @@
         shared.log(&Event::PlanChanged { shares, loads, version: shared.version() });
     }
 }
-
-/// The nodes to exchange with in this round.
-fn targets<P: Platform>(shared: &Shared<P>, round: u64, now: Instant) -> Vec<Record> {
-    let own = &shared.settings;
-    let mut zones: BTreeMap<Arc<str>, Record> = BTreeMap::new();
-    let mut others = Vec::new();
-    {
-        let table = lock(&shared.members);
-        let peers = lock(&shared.peers);
-        for (member, silent) in table.all(now) {
-            let record = &member.record;
-            let is_own = record.node == own.node;
-            if !is_own {
-                others.push(record.clone());
-            }
-            let avoided = peers.get(&record.node).is_some_and(|peer| peer.is_avoided(now));
-            if is_own || !(silent || avoided) {
-                // Nodes are ordered by name; the first of each failure domain is its delegate.
-                zones.entry(record.zone.clone()).or_insert_with(|| record.clone());
-            }
-        }
-    }
-    let mut regions: BTreeMap<Arc<str>, Record> = BTreeMap::new();
-    for delegate in zones.values() {
-        regions.entry(delegate.region.clone()).or_insert_with(|| delegate.clone());
-    }
-    let is_this_node = |node: Option<&Record>| node.is_some_and(|record| record.node == own.node);
-    let mut targets = if !is_this_node(zones.get(&own.zone)) {
-        zones.remove(&own.zone).into_iter().collect()
-    } else if !is_this_node(regions.get(&own.region)) {
-        regions.remove(&own.region).into_iter().collect()
-    } else if round.is_multiple_of(REGION_ROUNDS) {
-        regions.into_values().filter(|delegate| delegate.node != own.node).collect()
-    } else {
-        Vec::new()
-    };
-    if round.is_multiple_of(RANDOM_ROUNDS) || !shared.synced.load(Ordering::Relaxed) {
-        others.retain(|record| record.region == own.region);
-        if !others.is_empty() {
-            targets.push(others.swap_remove(rand::random_range(0..others.len())));
-        }
-    }
-    targets
-}
