Don't write a record over the one that a shutdown has saved

The record that is written again after a restore lacks the upstream's saved state; within the last 0.7 s of a shutdown it would have replaced the one that has it. Seen by reading; no test brings it about, as the window is short.

--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -148,6 +148,10 @@
     // Fails only without a sender, which is part of `shared`.
     while let Ok(latest) = epochs.wait_for(|latest| *latest > written).await.map(|latest| *latest) {
         tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
+        if shared.leaving.load(Ordering::Relaxed) {
+            // The record that the shutdown saves has more in it.
+            return;
+        }
         // The answer may be of before the restore, but a store whose epochs fall is not written to for ever.
         if write_record(&shared, &mut backoff).await < latest {
             write_record(&shared, &mut backoff).await;
