--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -1,4 +1,5 @@
-//! Tasks that read the store: the configuration whenever it changes, and the nodes' records at startup.
+//! Tasks that use the store: the configuration is read whenever it changes, the records of nodes at startup, and this node's
+//! record is kept there.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
