Wait for records only after a prompt read that did not wait

Callers saw 404 for routes that had been confirmed, for up to 12 s, on all nodes, also with the position bound to its epoch.

Cause: a node that stands still reads an answer long after it was sent. All nodes were suspended while two changes were made and the store was restored without them; when they went on, they read the answer with the first change, of the epoch before, and their next read waited at that offset in the new epoch, which had grown back to just there.

Change: a read that waits is preceded by one that doesn't and that was answered within half a second by both clocks; less than a restore takes. It costs one more call at the end of each long poll.

Tried before and dropped: to wait only on a connection that had been open since the last answer.

Three assertions of follow.rs expect a read that confirms where they expected one that waits, as that is the change.

--- a/components/mesh/src/decide/follow.rs
+++ b/components/mesh/src/decide/follow.rs
@@ -1,11 +1,17 @@
 //! Where to go on reading in the store's log, which may be restored from an older copy between two reads.
 //!
 //! A restore starts a new epoch of the store and gives offsets out again, so that a position says nothing in another
-//! epoch than its own. A read that waits for records carries an epoch only once one arrives; therefore a position is
-//! confirmed by a read that doesn't wait whenever a restore may have happened unseen.
+//! epoch than its own. A read that waits for records carries an epoch only once one arrives, and a process that was
+//! suspended reads an answer long after it was sent. Therefore each read that waits is preceded by one that doesn't and
+//! that was answered promptly.
+
+use std::time::Duration;
 
 use crate::platform::StoreEpoch;
 
+/// Longest time of a read that shows the store as it is now: a restore takes longer.
+const MAX_CONFIRMATION: Duration = Duration::from_millis(500);
+
 /// The read to make next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NextRead {
@@ -45,14 +51,15 @@
         self.position.and_then(|position| position.epoch)
     }
 
-    /// The read succeeded, in an answer of `epoch`, and the next record will be at `next_offset`.
-    pub fn succeeded(&mut self, epoch: Option<StoreEpoch>, next_offset: u64) {
+    /// The read succeeded in a time, in an answer of `epoch`, and the next record will be at `next_offset`.
+    pub fn succeeded(&mut self, epoch: Option<StoreEpoch>, next_offset: u64, time: Duration) {
+        let waited = self.confirmed;
         let moved = self.position.is_some_and(|position| position.epoch != epoch);
         self.position = (!moved).then_some(Position { epoch, offset: next_offset });
-        self.confirmed = !moved;
+        self.confirmed = !moved && !waited && time <= MAX_CONFIRMATION;
     }
 
-    /// The read failed: the store may have been restored since.
+    /// The read failed.
     pub fn unconfirm(&mut self) {
         self.confirmed = false;
     }
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -69,6 +69,7 @@
     let mut backoff = Backoff::new();
     let mut follower = Follower::default();
     loop {
+        let asked = shared.moment();
         let (offset, answer) = match follower.next_read() {
             NextRead::Newest => (None, shared.platform.latest_configuration().await),
             NextRead::Confirm(from) => {
@@ -84,7 +85,7 @@
             Ok(read) => {
                 backoff.succeeded(&shared, "configuration");
                 apply_read(&shared, &read, offset, epoch);
-                follower.succeeded(epoch, read.next_offset);
+                follower.succeeded(epoch, read.next_offset, shared.moment().since(asked));
                 if shared.configuration().is_none() {
                     follower.reset();
                     tokio::time::sleep(FIRST_PAUSE).await;
--- a/components/mesh/tests/follow.rs
+++ b/components/mesh/tests/follow.rs
@@ -1,17 +1,22 @@
 //! Reading on in a log that is restored from an older copy between reads.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use mesh::decide::epoch::{self, EpochChange};
 use mesh::decide::follow::{Follower, NextRead};
 use mesh::platform::StoreEpoch;
 
+/// Times of a read that doesn't wait, and of one that does or whose process was suspended meanwhile.
+const PROMPT: Duration = Duration::from_millis(100);
+const WAITED: Duration = Duration::from_secs(5);
 const FIRST: Option<StoreEpoch> = Some(StoreEpoch(1));
 const SECOND: Option<StoreEpoch> = Some(StoreEpoch(2));
 
 fn following(epoch: Option<StoreEpoch>, offset: u64) -> Follower {
     let mut follower = Follower::default();
     expect_that!(follower.next_read(), eq(NextRead::Newest));
-    follower.succeeded(epoch, offset);
+    follower.succeeded(epoch, offset, PROMPT);
     expect_that!(follower.next_read(), eq(NextRead::Wait(offset)));
     follower
 }
@@ -22,7 +27,7 @@
     let mut follower = following(FIRST, 3);
     follower.unconfirm();
     expect_that!(follower.next_read(), eq(NextRead::Confirm(3)));
-    follower.succeeded(FIRST, 3);
+    follower.succeeded(FIRST, 3, PROMPT);
     expect_that!(follower.next_read(), eq(NextRead::Wait(3)));
 }
 
@@ -31,9 +36,9 @@
 fn a_position_is_dropped_in_another_epoch() {
     for next in [3, 4, 9] {
         let mut follower = following(FIRST, 3);
-        follower.succeeded(SECOND, next);
+        follower.succeeded(SECOND, next, WAITED);
         expect_that!(follower.next_read(), eq(NextRead::Newest));
-        follower.succeeded(SECOND, next);
+        follower.succeeded(SECOND, next, PROMPT);
         expect_that!(follower.next_read(), eq(NextRead::Wait(next)));
     }
     let mut follower = following(FIRST, 3);
@@ -47,16 +52,34 @@
     let epochs = [None, FIRST, SECOND, Some(StoreEpoch(9)), Some(StoreEpoch(u64::MAX))];
     for (before, after) in epochs.iter().flat_map(|before| epochs.map(|after| (*before, after))) {
         let mut follower = following(before, 3);
-        follower.succeeded(after, 5);
-        let expected = if before == after { NextRead::Wait(5) } else { NextRead::Newest };
+        follower.succeeded(after, 5, WAITED);
+        let expected = if before == after { NextRead::Confirm(5) } else { NextRead::Newest };
         expect_that!(follower.next_read(), eq(expected), "{before:?} {after:?}");
     }
 }
 
+/// Guards against a wait in another epoch than that of the last answer, which was sent before a restore and read after
+/// it, as the process was suspended meanwhile.
+#[gtest]
+fn a_read_waits_only_after_a_prompt_one_that_did_not() {
+    let mut follower = following(FIRST, 3);
+    follower.succeeded(FIRST, 4, PROMPT);
+    expect_that!(follower.next_read(), eq(NextRead::Confirm(4)));
+    follower.succeeded(FIRST, 4, WAITED);
+    expect_that!(follower.next_read(), eq(NextRead::Confirm(4)));
+    follower.succeeded(FIRST, 4, PROMPT);
+    expect_that!(follower.next_read(), eq(NextRead::Wait(4)));
+    let mut follower = Follower::default();
+    follower.succeeded(FIRST, 4, WAITED);
+    expect_that!(follower.next_read(), eq(NextRead::Confirm(4)));
+}
+
 #[gtest]
 fn a_store_without_epochs_is_read_on() {
     let mut follower = following(None, 3);
-    follower.succeeded(None, 4);
+    follower.succeeded(None, 4, WAITED);
+    expect_that!(follower.next_read(), eq(NextRead::Confirm(4)));
+    follower.succeeded(None, 4, PROMPT);
     expect_that!(follower.next_read(), eq(NextRead::Wait(4)));
 }
 
