--- a/components/mesh/src/decide/follow.rs
+++ b/components/mesh/src/decide/follow.rs
@@ -46,12 +46,7 @@
         }
     }
 
-    /// Epoch of the position; `None` without a position, or if the store names no epochs.
-    pub fn epoch(&self) -> Option<StoreEpoch> {
-        self.position.and_then(|position| position.epoch)
-    }
-
-    /// The read succeeded in a time, in an answer of `epoch`, and the next record will be at `next_offset`.
+    /// The read succeeded after `time`, in an answer of `epoch`; the next record will be at `next_offset`.
     pub fn succeeded(&mut self, epoch: Option<StoreEpoch>, next_offset: u64, time: Duration) {
         let waited = self.confirmed;
         let moved = self.position.is_some_and(|position| position.epoch != epoch);
@@ -59,7 +54,7 @@
         self.confirmed = !moved && !waited && time <= MAX_CONFIRMATION;
     }
 
-    /// The read failed.
+    /// The read failed, or its answer can't be used.
     pub fn unconfirm(&mut self) {
         self.confirmed = false;
     }
