--- a/components/mesh/src/configuration.rs
+++ b/components/mesh/src/configuration.rs
@@ -1,10 +1,14 @@
 //! One version of the configuration.
 
 use std::collections::HashMap;
+use std::fmt;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use units::ParseError;
+use xxhash_rust::xxh3;
 
 /// A service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq)]
@@ -47,6 +51,36 @@
     pub idle_timeout: Duration,
 }
 
+units::value! {
+    /// Digest of a configuration document. Two documents may bear one version.
+    pub struct Digest(pub u64);
+}
+units::text_serde!(Digest, "16 hexadecimal digits");
+
+impl Digest {
+    /// Digest of a document.
+    pub fn of(source: &[u8]) -> Self {
+        Self(xxh3::xxh3_64(source))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = ParseError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let invalid = || ParseError::Expected(text.to_owned(), "16 hexadecimal digits");
+        if text.len() != 16 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(invalid());
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| invalid())
+    }
+}
+
 /// A validated configuration.
 #[derive(Debug, Clone)]
 pub struct Configuration {
@@ -57,6 +91,8 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
     /// The document as the operator wrote it, for nodes that can't reach the store.
     pub source: Bytes,
+    /// Digest of `source`.
+    pub digest: Digest,
 }
 
 impl Configuration {
@@ -74,7 +110,8 @@
         for group in hosts.values_mut() {
             group.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, limits, routes: hosts, source }
+        let digest = Digest::of(&source);
+        Self { version, limits, routes: hosts, source, digest }
     }
 
     /// The route with the longest matching prefix.
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -190,6 +190,8 @@
     pub document: Option<Bytes>,
     /// Offset at which to continue reading.
     pub next_offset: u64,
+    /// Size of the answer, in bytes.
+    pub bytes: usize,
 }
 
 /// What a node needs from its platform.
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -11,6 +11,8 @@
 
 use serde::Serialize;
 
+use crate::configuration::Digest;
+
 /// Lines that may wait for the writer thread.
 const MAX_QUEUED_LINES: usize = 512;
 /// Rate limit of the log, and the bytes that may be written in one burst.
@@ -42,10 +44,13 @@
     #[serde(rename = "configuration-taken")]
     ConfigurationApplied {
         version: u64,
+        digest: Digest,
         from: &'a str,
     },
     ConfigurationRefused {
         from: &'a str,
+        /// Digest of the refused document.
+        digest: Digest,
         #[serde(rename = "why")]
         reason: &'a str,
     },
@@ -75,6 +80,8 @@
         #[serde(rename = "next")]
         next_offset: u64,
         epoch: Option<u64>,
+        /// Size of the answer.
+        bytes: usize,
         /// Version that was found, and the one in force after that.
         found: Option<u64>,
         version: u64,
@@ -184,6 +191,17 @@
         elapsed_ms: u64,
         version: u64,
     },
+    /// A caller was answered well after the timeout of its request.
+    AnsweredLate {
+        id: &'a str,
+        route: &'a str,
+        timeout_ms: u64,
+        /// Time until the request's body had arrived.
+        body_ms: u64,
+        #[serde(rename = "taken_ms")]
+        elapsed_ms: u64,
+        version: u64,
+    },
     #[serde(rename = "turned")]
     Rejected {
         id: &'a str,
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -237,6 +237,7 @@
             offset,
             next_offset: read.next_offset,
             epoch: epoch.map(|epoch| epoch.0),
+            bytes: read.bytes,
             found,
             version: shared.version(),
         });
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -15,6 +15,12 @@
     pub calls: IntCounterVec,
     /// Calls that this node, as the guard, refused or got no answer for, by reason.
     pub guard_errors: IntCounterVec,
+    /// Answers that came well after the timeout of their request.
+    pub late_answers: IntCounter,
+    /// Requests whose body has not arrived yet.
+    pub incoming_bodies: IntGauge,
+    /// Configurations that were refused.
+    pub refused_configurations: IntCounter,
     /// Requests that were sent again, by reason.
     pub retries: IntCounterVec,
     /// Metrics of the store, as this node sees it.
@@ -129,6 +135,12 @@
                 "Requests refused beside the upstream.",
                 &["reason"],
             )?,
+            late_answers: registry
+                .counter("answers_late_total", "Answers well after the timeout of the request.")?,
+            incoming_bodies: registry
+                .gauge("incoming_bodies", "Requests whose body has not arrived yet.")?,
+            refused_configurations: registry
+                .counter("configurations_refused_total", "Configurations that were refused.")?,
             retries: registry.counters("retries_total", "Requests sent once more.", &["reason"])?,
             store: StoreMetrics::new(&registry)?,
             latency: registry.histogram(
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -18,7 +18,7 @@
 use super::shutdown::Shutdown;
 use super::traffic::Traffic;
 use super::upstream::{Moment, Upstream};
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, Digest};
 use crate::connection::pool::Pool;
 use crate::decide::budget::Budget;
 use crate::decide::choose::{Peer, Tier};
@@ -226,18 +226,18 @@
         let configuration = match self.platform.decode_configuration(bytes) {
             Ok(configuration) => configuration,
             Err(reason) => {
-                self.log(&Event::ConfigurationRefused { from, reason: &reason });
+                self.configuration_refused(Digest::of(bytes), from, &reason);
                 return None;
             }
         };
-        let version = configuration.version;
+        let Configuration { version, digest, .. } = configuration;
         {
             let mut active = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
             match active.as_ref() {
                 Some(active) if active.version == version => {
                     if active.source != configuration.source {
                         let reason = format!("version {version} is in force with other contents");
-                        self.log(&Event::ConfigurationRefused { from, reason: &reason });
+                        self.configuration_refused(digest, from, &reason);
                     }
                     return Some(version);
                 }
@@ -246,11 +246,16 @@
             }
         }
         self.metrics.version.set(version as i64);
-        self.log(&Event::ConfigurationApplied { version, from });
+        self.log(&Event::ConfigurationApplied { version, digest, from });
         self.exchange_now.notify_one();
         Some(version)
     }
 
+    fn configuration_refused(&self, digest: Digest, from: &str, reason: &str) {
+        self.metrics.refused_configurations.inc();
+        self.log(&Event::ConfigurationRefused { from, digest, reason });
+    }
+
     /// Reacts to a change of the member table: logs it and passes it on.
     pub fn membership_changed(&self, result: Merged, node: &Arc<str>, from: &str) {
         match result {
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -27,6 +27,8 @@
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Largest delay before a retry, as a fraction of the caller's timeout.
 const MAX_RETRY_FRACTION: f64 = 0.33;
+/// Time past its deadline from which an answer counts as late.
+const LATE_ANSWER: Duration = Duration::from_millis(250);
 /// Largest request body while there is no configuration.
 const DEFAULT_MAX_BODY_BYTES: usize = 1 << 20;
 
@@ -67,6 +69,22 @@
     }
 }
 
+/// Counts a request body as incoming until it is dropped.
+struct IncomingBody<'a, P: Platform>(&'a Shared<P>);
+
+impl<'a, P: Platform> IncomingBody<'a, P> {
+    fn new(shared: &'a Shared<P>) -> Self {
+        shared.metrics.incoming_bodies.inc();
+        Self(shared)
+    }
+}
+
+impl<P: Platform> Drop for IncomingBody<'_, P> {
+    fn drop(&mut self) {
+        self.0.metrics.incoming_bodies.dec();
+    }
+}
+
 /// Handles a request of a caller or the upstream.
 pub async fn handle<P: Platform>(
     shared: Arc<Shared<P>>,
@@ -80,7 +98,11 @@
         .configuration()
         .map_or(DEFAULT_MAX_BODY_BYTES, |configuration| configuration.limits.body_bytes);
     let no_body = hyper::body::Body::is_end_stream(&incoming);
-    let body = shared.shutdown.until_answering(body::read_request(incoming, max_body)).await;
+    let body = {
+        let _incoming = IncomingBody::new(&shared);
+        shared.shutdown.until_answering(body::read_request(incoming, max_body)).await
+    };
+    let read_at = shared.now();
     let Some(id) = parts.headers.get(&shared.platform.headers().id).cloned() else {
         return Payload::empty(StatusCode::BAD_REQUEST);
     };
@@ -109,8 +131,20 @@
             refused(&shared, &head.id, &routed.route.name, &refusal, retry_after, 0)
         }
     };
-    let elapsed = shared.now().saturating_duration_since(started);
+    let now = shared.now();
+    let elapsed = now.saturating_duration_since(started);
     shared.metrics.latency.observe(elapsed.as_secs_f64());
+    if now > routed.call.deadline + LATE_ANSWER {
+        shared.metrics.late_answers.inc();
+        shared.log(&Event::AnsweredLate {
+            id: head.id.to_str().unwrap_or_default(),
+            route: &routed.route.name,
+            timeout_ms: (routed.call.deadline - started).as_millis() as u64,
+            body_ms: (read_at - started).as_millis() as u64,
+            elapsed_ms: elapsed.as_millis() as u64,
+            version: configuration.version,
+        });
+    }
     response
 }
 
