--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -131,21 +131,33 @@
             refused(&shared, &head.id, &routed.route.name, &refusal, retry_after, 0)
         }
     };
+    record_latency(&shared, &routed, &head, read_at);
+    response
+}
+
+/// Records the time that an answer took; `read_at` is when the request's body was in.
+fn record_latency<P: Platform>(
+    shared: &Shared<P>,
+    routed: &RoutedRequest,
+    head: &RequestHead,
+    read_at: Instant,
+) {
+    let RoutedRequest { route, call, started, .. } = routed;
     let now = shared.now();
-    let elapsed = now.saturating_duration_since(started);
+    let elapsed = now.saturating_duration_since(*started);
     shared.metrics.latency.observe(elapsed.as_secs_f64());
-    if now > routed.call.deadline + LATE_ANSWER {
-        shared.metrics.late_answers.inc();
-        shared.log(&Event::AnsweredLate {
-            id: head.id.to_str().unwrap_or_default(),
-            route: &routed.route.name,
-            timeout_ms: (routed.call.deadline - started).as_millis() as u64,
-            body_ms: (read_at - started).as_millis() as u64,
-            elapsed_ms: elapsed.as_millis() as u64,
-            version: configuration.version,
-        });
+    if now <= call.deadline + LATE_ANSWER {
+        return;
     }
-    response
+    shared.metrics.late_answers.inc();
+    shared.log(&Event::AnsweredLate {
+        id: head.id.to_str().unwrap_or_default(),
+        route: &route.name,
+        timeout_ms: call.deadline.saturating_duration_since(*started).as_millis() as u64,
+        body_ms: read_at.saturating_duration_since(*started).as_millis() as u64,
+        elapsed_ms: elapsed.as_millis() as u64,
+        version: shared.version(),
+    });
 }
 
 /// Admits or refuses a request; calls made for a running request are always admitted.
