Read the configuration once for each failure domain

A read that was late brought up to 1 MB of the versions in between, which made all reads later still, until long after the changes.

Now the reader of a failure domain, which already read at intervals, is the only node there that follows the store, and sends a new version to its neighbours at once, each at its own pace and only the latest one. A node whose last exchange with the reader failed reads by itself; where reads fail, one more node reads for each that fails. Another failure domain or region is sent the document only if it is still behind after 0.3 or 0.7 s. Nodes tell each other the epoch of the store, as most don't ask it any more.

--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -190,6 +190,8 @@
     pub document: Option<Bytes>,
     /// Offset at which to continue reading.
     pub next_offset: u64,
+    /// Whether the log has further records, which were not sent.
+    pub more: bool,
     /// Size of the answer, in bytes.
     pub bytes: usize,
 }
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -10,6 +10,7 @@
 pub mod limiter;
 pub mod metrics;
 pub mod node;
+pub mod relay;
 pub mod serve;
 pub mod settings;
 pub mod shared;
--- a/components/mesh/src/process/epoch.rs
+++ b/components/mesh/src/process/epoch.rs
@@ -14,6 +14,13 @@
     }
 }
 
+/// Takes note of an epoch that another node knows: a node that doesn't read the store hears of a restore in this way.
+pub fn observe_relayed<P: Platform>(shared: &Shared<P>, known: StoreEpoch) {
+    if shared.store_epoch.borrow().is_none_or(|latest| latest < known) {
+        observe(shared, known);
+    }
+}
+
 fn observe<P: Platform>(shared: &Shared<P>, seen: StoreEpoch) {
     let mut change = EpochChange::Same;
     shared.store_epoch.send_if_modified(|latest| {
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -2,8 +2,8 @@
 //!
 //! Each node exchanges changes with the delegate of its failure domain, and these delegates with the delegate of the
 //! region. Delegates of regions exchange with each other in every second round, and send only sums, as traffic between
-//! regions is expensive. Where nodes may have lost their reads of the store, the one that reads for them sends them a new
-//! version of the configuration at once. Each node derives the delegates from its own view, so differing views cost only a few
+//! regions is expensive. Each failure domain reads the configuration from the store by itself, so that it is sent to another one
+//! only if that one is late. Each node derives the delegates from its own view, so differing views cost only a few
 //! additional messages.
 
 pub mod targets;
@@ -19,12 +19,13 @@
 use serde::{Deserialize, Serialize};
 use units::NodeId;
 
+use super::epoch;
 use super::events::Event;
 use super::shared::{Shared, Summary, lock};
 use super::traffic;
 use crate::decide::demand::Demand;
 use crate::decide::members::{self, Record};
-use crate::platform::Platform;
+use crate::platform::{Platform, StoreEpoch};
 use crate::request::peer::PEER_MAX_IDLE;
 
 /// Path of an exchange between nodes.
@@ -37,6 +38,10 @@
 /// Age at which the summary of another region is ignored.
 const SUMMARY_MAX_AGE: Duration = Duration::from_secs(8);
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for which a version was in force here before it is sent to another failure domain of the region, or to another
+/// region: they should have read it from the store by then.
+const DOMAIN_LATENESS: Duration = Duration::from_millis(300);
+const REGION_LATENESS: Duration = Duration::from_millis(700);
 /// Delay beyond the exchange interval that shows that the process was suspended.
 const MIN_SUSPENSION: Duration = Duration::from_millis(1_500);
 const MAX_ANSWER_BYTES: usize = 32 << 20;
@@ -64,6 +69,9 @@
     /// Incarnation of the reader, and the latest revision of its table that the sender has applied.
     seen: (u64, u64),
     version: u64,
+    /// Latest epoch of the store that the sender knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    store_epoch: Option<StoreEpoch>,
     region: Arc<str>,
     members: Vec<members::MemberUpdate>,
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -92,7 +100,6 @@
     let mut cursors = Cursors::new();
     let mut round = 0;
     let mut last = shared.now();
-    let mut version = 0;
     loop {
         tokio::select! {
             () = tokio::time::sleep(INTERVAL) => {}
@@ -102,16 +109,14 @@
         detect_suspension(&shared, now.saturating_duration_since(last));
         round += 1;
         refresh(&shared, now);
-        let mut targets = targets::choose(&shared, round, now);
-        if shared.version() > version {
-            version = shared.version();
-            if shared.follow.take_polls_lost() {
-                targets.extend(targets::neighbours(&shared, now));
+        let reader = targets::reader(&shared, now);
+        for target in targets::choose(&shared, round, now) {
+            let mut exchanged = exchange_with(&shared, &mut cursors, &target).await;
+            if exchanged == Exchanged::Restarted {
+                exchanged = exchange_with(&shared, &mut cursors, &target).await;
             }
-        }
-        for target in targets {
-            if exchange_with(&shared, &mut cursors, &target).await == Exchanged::Restarted {
-                exchange_with(&shared, &mut cursors, &target).await;
+            if reader.as_ref().is_some_and(|reader| reader.node == target.node) {
+                shared.follow.exchanged_with_reader(exchanged != Exchanged::Failed);
             }
         }
         update_shares(&shared);
@@ -133,7 +138,7 @@
     };
     apply(shared, message);
     shared.compared_version(version);
-    if version > shared.version() {
+    if version > shared.version() && shared.is_neighbour(&reader) {
         // The sender has a newer configuration, which this node gets in its next exchange.
         shared.exchange_now.notify_one();
     }
@@ -182,7 +187,7 @@
     apply(shared, answer);
     shared.compared_version(version);
     // A node that was offered the newer configuration and still has an older one has rejected it.
-    if version < shared.version() && !offered {
+    if !offered && is_late(shared, &target.node, &target.region, version) {
         shared.exchange_now.notify_one();
     }
     if restarted { Exchanged::Restarted } else { Exchanged::Complete }
@@ -216,8 +221,7 @@
     let regions = summaries(shared, region, same_region);
     let configuration = shared.configuration();
     let version = configuration.as_ref().map_or(0, |configuration| configuration.version);
-    // Only a reader that is known to have an older version is sent the configuration.
-    let outdated = cursor.seen > 0 && cursor.version < version;
+    let outdated = cursor.seen > 0 && is_late(shared, reader, region, cursor.version);
     let document =
         configuration.filter(|_| outdated).map(|configuration| configuration.source.clone());
     let table = lock(&shared.members);
@@ -229,6 +233,7 @@
         revision: table.revision(),
         seen: (cursor.incarnation, cursor.seen),
         version,
+        store_epoch: *shared.store_epoch.borrow(),
         region: shared.settings.region.clone(),
         members: table.changes_since(cursor.sent, reader, same_region),
         regions,
@@ -237,6 +242,18 @@
     }
 }
 
+/// Whether a node that has this version is to be sent the configuration.
+fn is_late<P: Platform>(shared: &Shared<P>, node: &str, region: &Arc<str>, version: u64) -> bool {
+    let lateness = if version == 0 || shared.is_neighbour(node) {
+        Duration::ZERO
+    } else if *region == shared.settings.region {
+        DOMAIN_LATENESS
+    } else {
+        REGION_LATENESS
+    };
+    version < shared.version_before(lateness)
+}
+
 fn wire_suspect(update: &SuspectUpdate) -> Option<Suspect> {
     let crash = update.crash.as_ref()?;
     Some(Suspect {
@@ -249,6 +266,9 @@
 fn apply<P: Platform>(shared: &Shared<P>, message: Message) {
     let now = shared.now();
     let source = message.from;
+    if let Some(epoch) = message.store_epoch {
+        epoch::observe_relayed(shared, epoch);
+    }
     for update in message.members {
         let node = update.node.clone();
         let load = update.measurements.as_ref().map(|measurements| measurements.load());
@@ -265,12 +285,7 @@
         apply_suspect(shared, suspect, now);
     }
     if let Some(configuration) = message.configuration {
-        let before = shared.version();
-        // What is wrong with it, if anything, is in the log.
-        let _ = shared.apply_configuration(configuration.as_bytes(), &source);
-        if shared.version() > before {
-            shared.follow.overtaken(shared.version());
-        }
+        shared.apply_relayed(configuration.as_bytes(), &source);
     }
 }
 
--- a/components/mesh/src/process/exchange/targets.rs
+++ b/components/mesh/src/process/exchange/targets.rs
@@ -14,34 +14,44 @@
 /// Rounds between exchanges with a random node, which reconnect a membership that was partitioned.
 const RANDOM_ROUNDS: u64 = 10;
 
-/// Whether this node reads the store for its failure domain: in its own view, none of the preceding nodes reaches both
-/// the store and this node.
+/// Whether this node reads the store for its failure domain. In its own view, that is the first node that reaches both the
+/// store and this node, and one more for each node before it whose reads fail: where the store refuses many nodes, those that
+/// can read are found in a few steps.
 pub fn is_reader<P: Platform>(shared: &Shared<P>, now: Instant) -> bool {
-    let own = &shared.settings;
-    let table = lock(&shared.members);
-    let peers = lock(&shared.peers);
-    // Nodes are ordered by name.
-    let mut preceding = table
-        .all(now)
-        .take_while(|(member, _)| member.record.node < own.node)
-        .filter(|(member, _)| member.record.zone == own.zone);
-    let avoided = |node| peers.get(node).is_some_and(|peer| peer.is_avoided(now));
-    preceding.all(|(member, silent)| {
-        silent || member.measurements.store_lost || avoided(&member.record.node)
-    })
+    let present = present_neighbours(shared, now, |record| record.node < shared.settings.node);
+    let lost = present.iter().filter(|(_, store_lost)| *store_lost).count();
+    present.len() - lost <= lost
 }
 
-/// The other nodes of this failure domain that can be reached.
-pub fn neighbours<P: Platform>(shared: &Shared<P>, now: Instant) -> Vec<Record> {
+/// The node that reads the store for this one, in its own view; none if this node is the first that does.
+pub fn reader<P: Platform>(shared: &Shared<P>, now: Instant) -> Option<Record> {
+    let present = present_neighbours(shared, now, |_| true);
+    let first = present.into_iter().find(|(_, store_lost)| !store_lost).map(|(record, _)| record);
+    first.filter(|first| first.node < shared.settings.node || shared.follow.is_store_lost())
+}
+
+/// The other nodes of this failure domain that can be reached and that `include` accepts, ordered by name, and whether their
+/// last read of the store failed.
+fn present_neighbours<P: Platform>(
+    shared: &Shared<P>,
+    now: Instant,
+    include: impl Fn(&Record) -> bool,
+) -> Vec<(Record, bool)> {
     let own = &shared.settings;
     let table = lock(&shared.members);
     let peers = lock(&shared.peers);
     let avoided = |node| peers.get(node).is_some_and(|peer| peer.is_avoided(now));
     let present = table.all(now).filter(|(member, silent)| {
         let record = &member.record;
-        record.zone == own.zone && record.node != own.node && !silent && !avoided(&record.node)
+        let other = record.zone == own.zone && record.node != own.node && include(record);
+        other && !silent && !avoided(&record.node)
     });
-    present.map(|(member, _)| member.record.clone()).collect()
+    present.map(|(member, _)| (member.record.clone(), member.measurements.store_lost)).collect()
+}
+
+/// The other nodes of this failure domain that can be reached.
+pub fn neighbours<P: Platform>(shared: &Shared<P>, now: Instant) -> Vec<Record> {
+    present_neighbours(shared, now, |_| true).into_iter().map(|(record, _)| record).collect()
 }
 
 /// The nodes to exchange with in a round.
@@ -79,6 +89,11 @@
     } else {
         Vec::new()
     };
+    if let Some(reader) = reader(shared, now)
+        && !targets.iter().any(|target| target.node == reader.node)
+    {
+        targets.push(reader);
+    }
     if round.is_multiple_of(RANDOM_ROUNDS) || !shared.synced.load(Ordering::Relaxed) {
         others.retain(|record| record.region == own.region);
         if !others.is_empty() {
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -1,9 +1,12 @@
 //! Follows the configuration in the store.
 //!
+//! One node of each failure domain reads the store and passes on what it finds: the first that reaches the store, as far as
+//! the others know. Copies of a large configuration for all nodes would fill the links between regions. A node whose
+//! last exchange with the reader failed reads by itself.
+//!
 //! A read that waits for the next change is not answered for a long time, so that it doesn't show whether the store has
-//! lost it. One node of each failure domain therefore also reads at short intervals, and sends what it finds to the
-//! others there: the first that reaches the store, as far as the others know. Reads that wait are abandoned once a read
-//! at an interval, or another node, knows better.
+//! lost it. The reader therefore also reads at short intervals. Reads that wait are abandoned once a read at an interval,
+//! or another node, knows better.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -45,10 +48,14 @@
     failed: AtomicBool,
     /// Whether this node reads at intervals.
     watching: AtomicBool,
+    /// Whether the last exchange with the node that reads for this one succeeded.
+    relayed: AtomicBool,
     /// Wakes the reads at intervals when a poll begins to wait, or other nodes may have told that they can't read.
     check: Notify,
-    /// Set when the polls of other nodes are likely to be lost as well.
-    polls_lost: AtomicBool,
+    /// Wakes the reads of a node that another one has read for.
+    turn: Notify,
+    /// Wakes the task that passes a new configuration on.
+    relay: Notify,
 }
 
 impl FollowState {
@@ -62,9 +69,19 @@
         self.overtaken.send_replace(version);
     }
 
-    /// Whether other nodes have to be told of a new version, as their polls are likely to be lost; resets it.
-    pub fn take_polls_lost(&self) -> bool {
-        self.polls_lost.swap(false, Ordering::Relaxed)
+    /// Has the configuration passed on to the other nodes of the failure domain.
+    pub fn relay(&self) {
+        self.relay.notify_one();
+    }
+
+    /// Waits until a new configuration has to be passed on.
+    pub async fn relay_due(&self) {
+        self.relay.notified().await;
+    }
+
+    /// Records whether an exchange with the node that reads for this one succeeded.
+    pub fn exchanged_with_reader(&self, succeeded: bool) {
+        self.relayed.store(succeeded, Ordering::Relaxed);
     }
 
     /// Whether the last read of the store failed.
@@ -72,9 +89,10 @@
         self.failed.load(Ordering::Relaxed)
     }
 
-    /// Records that an exchange is complete: another node may have told that it can't read.
+    /// Records that a round of exchanges is complete: another node may have told that it can't read.
     pub fn exchanged(&self) {
         self.check.notify_one();
+        self.turn.notify_one();
     }
 
     fn record_answer(&self, now: Instant) {
@@ -92,23 +110,23 @@
 pub async fn run<P: Platform>(shared: Arc<Shared<P>>) {
     let mut backoff = Backoff::default();
     let mut follower = Follower::default();
+    let mut read_version = 0;
     loop {
+        wait_for_turn(&shared).await;
+        if shared.version() > read_version {
+            // The position is that of an older version; the records since are not needed one by one.
+            follower.reset();
+            read_version = shared.version();
+        }
         let asked = shared.moment();
-        let (offset, answer) = match follower.next_read() {
-            NextRead::Newest => (None, shared.platform.latest_configuration().await),
-            NextRead::Confirm(from) => {
-                (Some(from), shared.platform.check_configuration(from, READ_TIMEOUT).await)
+        let (offset, answer) = match read_next(&shared, &follower).await {
+            Ok(read) => read,
+            Err(reason) => {
+                let waited_ms = shared.moment().since(asked).as_millis() as u64;
+                shared.log(&Event::ReadAbandoned { reason, waited_ms });
+                follower.unconfirm();
+                continue;
             }
-            NextRead::Wait(from) => match poll(&shared, &follower, from).await {
-                Ok(answer) => (Some(from), answer),
-                Err(reason) => {
-                    let waited = shared.moment().since(asked);
-                    let waited_ms = waited.as_millis() as u64;
-                    shared.log(&Event::ReadAbandoned { reason, waited_ms });
-                    follower.unconfirm();
-                    continue;
-                }
-            },
         };
         let epoch = answer.epoch.valid();
         epoch::observe_answer(&shared, &answer.epoch);
@@ -116,7 +134,12 @@
             Ok(read) => {
                 backoff.succeeded(&shared, "configuration");
                 shared.follow.record_answer(shared.now());
+                if read.more {
+                    follower.reset();
+                    continue;
+                }
                 apply_read(&shared, &read, offset, epoch);
+                read_version = shared.version();
                 follower.succeeded(epoch, read.next_offset, shared.moment().since(asked));
                 if shared.configuration().is_none() {
                     follower.reset();
@@ -136,6 +159,32 @@
     }
 }
 
+/// Makes the follower's next read. Returns the offset that was asked for, or the reason for which the read was abandoned.
+async fn read_next<P: Platform>(
+    shared: &Shared<P>,
+    follower: &Follower,
+) -> Result<(Option<u64>, Answer<ConfigurationRead>), &'static str> {
+    let platform = &shared.platform;
+    match follower.next_read() {
+        NextRead::Newest => Ok((None, platform.latest_configuration().await)),
+        NextRead::Confirm(from) => {
+            Ok((Some(from), platform.check_configuration(from, READ_TIMEOUT).await))
+        }
+        NextRead::Wait(from) => Ok((Some(from), poll(shared, follower, from).await?)),
+    }
+}
+
+/// Waits until this node has to read by itself.
+async fn wait_for_turn<P: Platform>(shared: &Shared<P>) {
+    let state = &shared.follow;
+    while shared.configuration().is_some()
+        && state.relayed.load(Ordering::Relaxed)
+        && !targets::is_reader(shared, shared.now())
+    {
+        state.turn.notified().await;
+    }
+}
+
 /// Waits for the next configuration, or fails with the reason for which the poll is abandoned.
 async fn poll<P: Platform>(
     shared: &Shared<P>,
@@ -178,7 +227,6 @@
         if let Some(reason) = reason
             && *lock(&state.waiting) == Some(position)
         {
-            state.polls_lost.store(true, Ordering::Relaxed);
             state.abandon.send_replace(reason);
         }
         silent = !answered;
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -14,7 +14,7 @@
 use super::serve::{self, Clients};
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
-use super::{control, epoch, exchange, follow, store};
+use super::{control, epoch, exchange, follow, relay, store};
 use crate::decide::members::Record;
 use crate::platform::Platform;
 
@@ -101,6 +101,7 @@
             tokio::spawn(follow::watch(shared.clone())),
             tokio::spawn(store::join(shared.clone())),
             tokio::spawn(exchange::run(shared.clone())),
+            tokio::spawn(relay::run(shared.clone())),
         ];
         let state = shared.clone();
         let ready = move |_| control::ready(state.clone());
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -17,8 +17,8 @@
 use tokio::sync::watch;
 
 use super::announced;
-use super::exchange;
 use super::shared::Shared;
+use super::{exchange, relay};
 use crate::connection::socket;
 use crate::platform::Platform;
 use crate::request::body::{self, Payload};
@@ -134,6 +134,16 @@
                 None => Payload::empty(StatusCode::BAD_REQUEST),
             }
         }
+        Clients::Nodes if request.uri().path() == relay::PATH => {
+            let (parts, incoming) = request.into_parts();
+            if relay::is_newer(&shared, &parts.headers) {
+                let Ok(body) = body::read_request(incoming, MAX_BODY_BYTES).await else {
+                    return Payload::empty(StatusCode::BAD_REQUEST);
+                };
+                relay::receive(&shared, &parts.headers, &body);
+            }
+            Payload::empty(StatusCode::OK)
+        }
         Clients::Nodes => handle_call(&shared, request).await,
     }
 }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by all tasks of the process.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -38,6 +38,9 @@
 /// long to wait.
 const LEAVING_COST: Duration = Duration::from_secs(30);
 
+/// Versions of the configuration whose time of activation is remembered.
+const MAX_TAKEN_VERSIONS: usize = 64;
+
 /// A node that a request can be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -113,6 +116,8 @@
     /// How far the configuration is read from the store.
     pub follow: FollowState,
     configuration: RwLock<Option<Arc<Configuration>>>,
+    /// Versions that were taken last, and when.
+    taken: Mutex<VecDeque<(u64, Instant)>>,
 }
 
 impl<P: Platform> Shared<P> {
@@ -163,6 +168,7 @@
             store_epoch: watch::Sender::new(None),
             follow: FollowState::default(),
             configuration: RwLock::new(None),
+            taken: Mutex::default(),
             platform,
             settings,
         })
@@ -220,6 +226,31 @@
         self.configuration().map_or(0, |active| active.version)
     }
 
+    /// Latest version that has been in force here for at least `age`; 0 if there is none.
+    pub fn version_before(&self, age: Duration) -> u64 {
+        let now = self.now();
+        let taken = lock(&self.taken);
+        let mut latest = taken.iter().rev();
+        let old = latest.find(|(_, at)| now.saturating_duration_since(*at) >= age);
+        old.map_or(0, |(version, _)| *version)
+    }
+
+    /// Applies a configuration that another node has sent.
+    pub fn apply_relayed(&self, bytes: &[u8], from: &str) {
+        let before = self.version();
+        // What is wrong with it, if anything, is in the log.
+        let _ = self.apply_configuration(bytes, from);
+        if self.version() > before {
+            self.follow.overtaken(self.version());
+        }
+    }
+
+    /// Whether a node is known to be in this node's failure domain.
+    pub fn is_neighbour(&self, node: &str) -> bool {
+        let table = lock(&self.members);
+        table.get(node).is_some_and(|member| member.record.zone == self.settings.zone)
+    }
+
     /// Validates a configuration and activates it if it is newer than the active one. Returns its version; `None` if it
     /// is invalid.
     pub fn apply_configuration(&self, bytes: &[u8], from: &str) -> Option<u64> {
@@ -245,9 +276,19 @@
                 _ => *active = Some(Arc::new(configuration)),
             }
         }
+        {
+            let mut taken = lock(&self.taken);
+            if taken.len() == MAX_TAKEN_VERSIONS {
+                taken.pop_front();
+            }
+            taken.push_back((version, self.now()));
+        }
         self.metrics.version.set(version as i64);
         self.log(&Event::ConfigurationApplied { version, digest, from });
         self.exchange_now.notify_one();
+        if !self.is_neighbour(from) {
+            self.follow.relay();
+        }
         Some(version)
     }
 
