End requests whose body doesn't arrive at the time-out of their route

A caller whose body stopped half-way was never answered: the node read the whole body before it looked for a route, so that no time-out had begun. All such requests were held on. The same for the body of a call between nodes, of an exchange, of an announcement, and for the body of a refusal on the link between nodes.

Now the head decides how long the body may take: the time-out of its route, or the caller's own. Such a request is answered 408, as it has not run and won't; a call is refused at its deadline, messages of nodes after 2 s, announcements after 1 s.

Not covered: the time that a request waits in the accept queue of a node without processor time, as the clock starts with its head.

--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,6 +15,8 @@
 use crate::decide::members::UpstreamState;
 use crate::platform::{Announcement, Heartbeat, Platform};
 
+/// Time in which an announcement has to arrive: its sender waits no longer.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 << 10;
 
 /// Answers a readiness check.
@@ -30,7 +33,8 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (parts, incoming) = request.into_parts();
-    let Ok(body) = Limited::new(incoming, MAX_ANNOUNCEMENT_BYTES).collect().await else {
+    let read = Limited::new(incoming, MAX_ANNOUNCEMENT_BYTES).collect();
+    let Ok(Ok(body)) = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, read).await else {
         return response(StatusCode::BAD_REQUEST, "the body can't be read");
     };
     let body = body.to_bytes();
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -21,7 +21,7 @@
 use super::{exchange, relay};
 use crate::connection::socket;
 use crate::platform::Platform;
-use crate::request::body::{self, Payload};
+use crate::request::body::{self, Payload, ReadError};
 use crate::request::call::{self, Header, RequestHead};
 use crate::request::outcome::{self, Outcome, Refusal, RefusalReason};
 use crate::request::peer::LoadReport;
@@ -34,6 +34,8 @@
 /// Shortest idle timeout of a caller's connection, even if a shorter one is configured: a new connection costs callers
 /// more than an idle one.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time in which the body of a message from another node has to arrive.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest body of a call or message from another node.
 const MAX_BODY_BYTES: usize = 80 << 20;
 
@@ -126,7 +128,7 @@
             response
         }
         Clients::Nodes if request.uri().path() == exchange::PATH => {
-            let Ok(body) = body::read_request(request.into_body(), MAX_BODY_BYTES).await else {
+            let Some(body) = read_message(&shared, request.into_body()).await else {
                 return Payload::empty(StatusCode::BAD_REQUEST);
             };
             match exchange::answer(&shared, &body) {
@@ -137,7 +139,7 @@
         Clients::Nodes if request.uri().path() == relay::PATH => {
             let (parts, incoming) = request.into_parts();
             if relay::is_newer(&shared, &parts.headers) {
-                let Ok(body) = body::read_request(incoming, MAX_BODY_BYTES).await else {
+                let Some(body) = read_message(&shared, incoming).await else {
                     return Payload::empty(StatusCode::BAD_REQUEST);
                 };
                 relay::receive(&shared, &parts.headers, &body);
@@ -148,6 +150,12 @@
     }
 }
 
+/// Reads a message from another node; `None` if it doesn't arrive whole in time.
+async fn read_message<P: Platform>(shared: &Shared<P>, incoming: Incoming) -> Option<Bytes> {
+    let deadline = shared.now() + MESSAGE_TIMEOUT;
+    body::read_request(incoming, MAX_BODY_BYTES, deadline).await.ok()
+}
+
 /// Handles a call from another node, as the guard.
 async fn handle_call<P: Platform>(
     shared: &Arc<Shared<P>>,
@@ -161,9 +169,14 @@
     let (Some(header), Some(id), Some(path)) = (header, id, path) else {
         return Payload::empty(StatusCode::BAD_REQUEST);
     };
-    let body = body::read_request(incoming, MAX_BODY_BYTES);
-    let body = shared.shutdown.until_answering(body).await.transpose();
-    let Ok(body) = body else { return Payload::empty(StatusCode::BAD_REQUEST) };
+    let call = header.call(now);
+    let body = body::read_request(incoming, MAX_BODY_BYTES, call.deadline);
+    let body = match shared.shutdown.until_answering(body).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(ReadError::Late)) => Err(RefusalReason::BodyLate),
+        Some(Err(_)) => return Payload::empty(StatusCode::BAD_REQUEST),
+        None => Err(RefusalReason::Stopping),
+    };
     if let Some(notice) = call::parse_header(&parts.headers, &call::NOTICE) {
         announced::apply_notice(shared, &notice, "node");
     }
@@ -172,8 +185,8 @@
     parts.headers.remove(header::CONTENT_LENGTH);
     let head = RequestHead { method: parts.method, path, headers: parts.headers, id };
     let outcome = match body {
-        Some(body) => guard::serve(shared, &header.call(now), &head, &body).await,
-        None => Outcome::Refused(Refusal::new(RefusalReason::Stopping)),
+        Ok(body) => guard::serve(shared, &call, &head, &body).await,
+        Err(reason) => Outcome::Refused(Refusal::new(reason)),
     };
     let mut response = respond(shared, outcome, now);
     response.headers_mut().insert(&shared.platform.headers().id, head.id);
--- a/components/mesh/src/request/body.rs
+++ b/components/mesh/src/request/body.rs
@@ -213,18 +213,26 @@
 pub enum ReadError {
     /// Larger than allowed.
     TooLarge,
-    /// The caller stopped sending.
+    /// The sender closed the connection.
     Incomplete,
+    /// The deadline passed.
+    Late,
 }
 
-/// Reads a request body of at most `limit` bytes.
-pub async fn read_request(body: Incoming, limit: usize) -> Result<Bytes, ReadError> {
+/// Reads a request body of at most `limit` bytes, until `deadline` at the latest.
+pub async fn read_request(
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, ReadError> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(ReadError::TooLarge),
-        Err(_) => Err(ReadError::Incomplete),
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout_at(deadline.into(), read).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(ReadError::TooLarge),
+        Ok(Err(_)) => Err(ReadError::Incomplete),
+        Err(_) => Err(ReadError::Late),
     }
 }
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -29,6 +29,8 @@
 const MAX_RETRY_FRACTION: f64 = 0.33;
 /// Time past its deadline from which an answer counts as late.
 const LATE_ANSWER: Duration = Duration::from_millis(250);
+/// Longest time in which a request body has to arrive if neither its route nor its caller bounds it.
+const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 /// Largest request body while there is no configuration.
 const DEFAULT_MAX_BODY_BYTES: usize = 1 << 20;
 
@@ -100,7 +102,8 @@
     let no_body = hyper::body::Body::is_end_stream(&incoming);
     let body = {
         let _incoming = IncomingBody::new(&shared);
-        shared.shutdown.until_answering(body::read_request(incoming, max_body)).await
+        let read = body::read_request(incoming, max_body, body_deadline(&shared, &parts, started));
+        shared.shutdown.until_answering(read).await
     };
     let read_at = shared.now();
     let Some(id) = parts.headers.get(&shared.platform.headers().id).cloned() else {
@@ -111,6 +114,7 @@
         Some(Ok(body)) => body,
         Some(Err(ReadError::TooLarge)) => return Payload::empty(StatusCode::PAYLOAD_TOO_LARGE),
         Some(Err(ReadError::Incomplete)) => return Payload::empty(StatusCode::BAD_REQUEST),
+        Some(Err(ReadError::Late)) => return body_late(&shared, &parts, &id),
         None => return refuse(RefusalReason::Stopping),
     };
     let Some(configuration) = shared.serving_configuration() else {
@@ -135,6 +139,40 @@
     response
 }
 
+/// When a request has to be in: at the timeout of its route by the configuration that its head met, or when its caller gives up.
+fn body_deadline<P: Platform>(
+    shared: &Shared<P>,
+    parts: &request::Parts,
+    started: Instant,
+) -> Instant {
+    let names = shared.platform.headers();
+    let caller_timeout = call::parse_header(&parts.headers, &names.deadline);
+    let configuration = shared.configuration();
+    let route = configuration.as_ref().and_then(|configuration| {
+        configuration.find_route(host(parts), parts.uri.path()).map(|route| route.timeout)
+    });
+    let timeouts = [caller_timeout.map(Duration::from_millis), route, Some(MAX_BODY_TIME)];
+    started + timeouts.into_iter().flatten().min().unwrap_or(MAX_BODY_TIME)
+}
+
+/// Answers a request whose body was not in at its deadline: it has not run.
+fn body_late<P: Platform>(
+    shared: &Shared<P>,
+    parts: &request::Parts,
+    id: &HeaderValue,
+) -> Response<Payload<P>> {
+    let configuration = shared.configuration();
+    let route = configuration.as_ref().and_then(|configuration| {
+        configuration.find_route(host(parts), parts.uri.path()).map(|route| route.name.clone())
+    });
+    let refusal = Refusal::new(RefusalReason::BodyLate);
+    let route = route.unwrap_or_default();
+    let mut response = refused(shared, id, &route, &refusal, SHORT_RETRY_AFTER, 0);
+    *response.status_mut() = StatusCode::REQUEST_TIMEOUT;
+    call::set_header(response.headers_mut(), header::CONNECTION, "close");
+    response
+}
+
 /// Records the time that an answer took; `read_at` is when the request's body was in.
 fn record_latency<P: Platform>(
     shared: &Shared<P>,
@@ -298,6 +336,7 @@
         | RefusalReason::RateLimited
         | RefusalReason::Overload
         | RefusalReason::Deadline
+        | RefusalReason::BodyLate
         | RefusalReason::Stopping => refusal.wait,
     }
 }
--- a/components/mesh/src/request/outcome.rs
+++ b/components/mesh/src/request/outcome.rs
@@ -27,6 +27,8 @@
     Overload,
     /// The deadline passed.
     Deadline,
+    /// The deadline passed before the request's body was in.
+    BodyLate,
     /// The node or the upstream can't be reached.
     Unreachable,
     /// The node is about to exit.
@@ -34,7 +36,7 @@
 }
 
 impl RefusalReason {
-    const ALL: [(Self, &'static str); 9] = [
+    const ALL: [(Self, &'static str); 10] = [
         (Self::Unconfigured, "unconfigured"),
         (Self::NoUpstream, "no-upstream"),
         (Self::Leaving, "leaving"),
@@ -42,6 +44,7 @@
         (Self::RateLimited, "limited"),
         (Self::Overload, "overload"),
         (Self::Deadline, "deadline"),
+        (Self::BodyLate, "body-late"),
         (Self::Unreachable, "unreachable"),
         (Self::Stopping, "stopping"),
     ];
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -173,8 +173,10 @@
     deadline: Instant,
 ) {
     let resources = Resources::<P> { slot: None, in_flight: None, connection: Some(connection) };
-    if let Ok((_, Some(Resources { connection: Some(connection), .. }))) =
-        Payload::read(incoming, resources, deadline).await
+    let read = Payload::read(incoming, resources, deadline);
+    // A body that stalls ends its connection.
+    if let Ok(Ok((_, Some(Resources { connection: Some(connection), .. })))) =
+        tokio::time::timeout_at(deadline.into(), read).await
     {
         connection.release(shared.now());
     }
