Tell documents of one version apart by contents and place in the store

After a restore of the store, the operator's next change may bear the number of one that was lost. Nodes knew a document by its number and kept the lost one: the added route was 404 for good, the lost one was served on, and a new time-out was not kept. A node that started later served the other document, and neither heard of it.

Now a document is known by its version, its digest, and the epoch and offset of its record (decide/revision.rs). Of two with one version, the one of the later epoch is in force; within an epoch the first one, as before. A node remembers what it has replaced, so that an older copy of the store doesn't bring it back, and tells its peers, which may have started since; a replaced document that is written again is at another offset. Exchanges and relayed configurations carry the revision. A lower version is still not taken after a restore. A read also gives all documents of its records, so that an invalid one doesn't hide a valid one before it.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -12,4 +12,5 @@
 pub mod parents;
 pub mod queue;
 pub mod rate_limit;
+pub mod revision;
 pub mod split;
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -183,11 +183,20 @@
     },
 }
 
+/// A document of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Document {
+    /// Offset of its record.
+    pub offset: u64,
+    /// Its bytes as they were written.
+    pub bytes: Bytes,
+}
+
 /// What a read of the store's log of configurations found.
 #[derive(Debug, Clone)]
 pub struct ConfigurationRead {
-    /// The newest document among the records that were read, as it was written.
-    pub document: Option<Bytes>,
+    /// The documents that were read, the newest first.
+    pub documents: Vec<Document>,
     /// Offset at which to continue reading.
     pub next_offset: u64,
     /// Whether the log has further records, which were not sent.
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -1,5 +1,6 @@
 //! Components that live as long as the process.
 
+pub mod active;
 pub mod announced;
 pub mod backoff;
 pub mod control;
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -45,6 +45,9 @@
     ConfigurationApplied {
         version: u64,
         digest: Digest,
+        /// Where the store has it.
+        epoch: Option<u64>,
+        offset: u64,
         from: &'a str,
     },
     ConfigurationRefused {
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -25,6 +25,7 @@
 use super::traffic;
 use crate::decide::demand::Demand;
 use crate::decide::members::{self, Record};
+use crate::decide::revision::Revision;
 use crate::platform::{Platform, StoreEpoch};
 use crate::request::peer::PEER_MAX_IDLE;
 
@@ -65,10 +66,16 @@
     #[serde(rename = "life")]
     incarnation: u64,
     /// Revision of the sender's member table that the reader has after applying this.
-    revision: u64,
+    #[serde(rename = "revision")]
+    table_revision: u64,
     /// Incarnation of the reader, and the latest revision of its table that the sender has applied.
     seen: (u64, u64),
     version: u64,
+    /// The sender's document of that version, and those that it has replaced by it.
+    #[serde(rename = "document", default, skip_serializing_if = "Option::is_none")]
+    revision: Option<Revision>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    replaced: Vec<Revision>,
     /// Latest epoch of the store that the sender knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     store_epoch: Option<StoreEpoch>,
@@ -90,7 +97,9 @@
     seen: u64,
     /// Revision of this node's table that was sent to the other node.
     sent: u64,
+    /// The other node's version and document.
     version: u64,
+    revision: Option<Revision>,
 }
 
 type Cursors = HashMap<Arc<str>, Cursor>;
@@ -129,12 +138,13 @@
 pub fn answer<P: Platform>(shared: &Arc<Shared<P>>, body: &[u8]) -> Option<Vec<u8>> {
     let message: Message = serde_json::from_slice(body).ok()?;
     let (reader, region, seen) = (message.from.clone(), message.region.clone(), message.seen);
-    let version = message.version;
+    let (version, revision) = (message.version, message.revision);
     let cursor = {
         let table = lock(&shared.members);
         let incarnation = table.own().map_or(0, |own| own.record.incarnation);
         let sent = if seen.0 == incarnation { seen.1 } else { 0 };
-        Cursor { sent, version, seen: message.revision, incarnation: message.incarnation }
+        let (seen, incarnation) = (message.table_revision, message.incarnation);
+        Cursor { sent, version, revision, seen, incarnation }
     };
     apply(shared, message);
     shared.compared_version(version);
@@ -166,7 +176,7 @@
         *cursor = Cursor { incarnation: target.incarnation, ..Cursor::default() };
     }
     let message = build_message(shared, &target.node, &target.region, *cursor);
-    let (sent, offered) = (message.revision, message.configuration.is_some());
+    let (sent, offered) = (message.table_revision, message.configuration.is_some());
     let Ok(body) = serde_json::to_vec(&message) else { return Exchanged::Failed };
     let result = tokio::time::timeout(EXCHANGE_TIMEOUT, send(shared, target, body)).await;
     let now = shared.now();
@@ -180,14 +190,16 @@
         }
     };
     shared.with_peer(&target.node, |peer| peer.record_answer(now));
-    let version = answer.version;
+    let (version, revision) = (answer.version, answer.revision);
     let restarted = cursor.sent > 0 && cursor.incarnation != answer.incarnation;
     let sent = if restarted { 0 } else { sent };
-    *cursor = Cursor { incarnation: answer.incarnation, seen: answer.revision, sent, version };
+    let (incarnation, seen) = (answer.incarnation, answer.table_revision);
+    *cursor = Cursor { incarnation, seen, sent, version, revision };
+    let cursor = *cursor;
     apply(shared, answer);
     shared.compared_version(version);
     // A node that was offered the newer configuration and still has an older one has rejected it.
-    if !offered && is_late(shared, &target.node, &target.region, version) {
+    if !offered && is_late(shared, &target.node, &target.region, &cursor) {
         shared.exchange_now.notify_one();
     }
     if restarted { Exchanged::Restarted } else { Exchanged::Complete }
@@ -221,7 +233,8 @@
     let regions = summaries(shared, region, same_region);
     let configuration = shared.configuration();
     let version = configuration.as_ref().map_or(0, |configuration| configuration.version);
-    let outdated = cursor.seen > 0 && is_late(shared, reader, region, cursor.version);
+    let (revision, replaced) = shared.active.revisions().unzip();
+    let outdated = cursor.seen > 0 && is_late(shared, reader, region, &cursor);
     let document =
         configuration.filter(|_| outdated).map(|configuration| configuration.source.clone());
     let table = lock(&shared.members);
@@ -230,9 +243,11 @@
     Message {
         from: shared.settings.node.clone(),
         incarnation: table.own().map_or(0, |own| own.record.incarnation),
-        revision: table.revision(),
+        table_revision: table.revision(),
         seen: (cursor.incarnation, cursor.seen),
         version,
+        revision,
+        replaced: replaced.unwrap_or_default(),
         store_epoch: *shared.store_epoch.borrow(),
         region: shared.settings.region.clone(),
         members: table.changes_since(cursor.sent, reader, same_region),
@@ -242,8 +257,19 @@
     }
 }
 
-/// Whether a node that has this version is to be sent the configuration.
-fn is_late<P: Platform>(shared: &Shared<P>, node: &str, region: &Arc<str>, version: u64) -> bool {
+/// Whether a node with this cursor is to be sent the configuration.
+fn is_late<P: Platform>(
+    shared: &Shared<P>,
+    node: &str,
+    region: &Arc<str>,
+    cursor: &Cursor,
+) -> bool {
+    let version = cursor.version;
+    if let (Some(theirs), Some((own, replaced))) = (cursor.revision, shared.active.revisions())
+        && own.version == version
+    {
+        return own.replaces(&theirs, &[], &replaced);
+    }
     let lateness = if version == 0 || shared.is_neighbour(node) {
         Duration::ZERO
     } else if *region == shared.settings.region {
@@ -251,7 +277,7 @@
     } else {
         REGION_LATENESS
     };
-    version < shared.version_before(lateness)
+    version < shared.active.version_before(lateness, shared.now())
 }
 
 fn wire_suspect(update: &SuspectUpdate) -> Option<Suspect> {
@@ -266,6 +292,9 @@
 fn apply<P: Platform>(shared: &Shared<P>, message: Message) {
     let now = shared.now();
     let source = message.from;
+    if let Some(revision) = &message.revision {
+        shared.active.observe(revision);
+    }
     if let Some(epoch) = message.store_epoch {
         epoch::observe_relayed(shared, epoch);
     }
@@ -285,7 +314,8 @@
         apply_suspect(shared, suspect, now);
     }
     if let Some(configuration) = message.configuration {
-        shared.apply_relayed(configuration.as_bytes(), &source);
+        let origin = message.revision.map(|revision| revision.origin).unwrap_or_default();
+        shared.apply_relayed(configuration.as_bytes(), &source, origin, &message.replaced);
     }
 }
 
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -20,6 +20,7 @@
 use super::exchange::targets;
 use super::shared::{Shared, lock};
 use crate::decide::follow::{Follower, NextRead, Position};
+use crate::decide::revision::Origin;
 use crate::platform::{Answer, ConfigurationRead, Platform, StoreEpoch, StoreError};
 
 /// Timeout of a long poll: long as each call is billed, but bounded as a new call detects a dead connection.
@@ -278,8 +279,11 @@
     offset: Option<u64>,
     epoch: Option<StoreEpoch>,
 ) {
-    let document = read.document.as_ref();
-    let found = document.and_then(|bytes| shared.apply_configuration(bytes, "store"));
+    // An invalid document hides no earlier one.
+    let found = read.documents.iter().find_map(|document| {
+        let origin = Origin { epoch, offset: document.offset };
+        shared.apply_configuration(&document.bytes, "store", origin, &[])
+    });
     if offset != Some(read.next_offset) {
         shared.log(&Event::ConfigurationRead {
             offset,
--- a/components/mesh/src/process/relay.rs
+++ b/components/mesh/src/process/relay.rs
@@ -14,6 +14,7 @@
 use super::shared::{Shared, lock};
 use crate::configuration::Configuration;
 use crate::decide::members::Record;
+use crate::decide::revision::Revision;
 use crate::platform::Platform;
 use crate::request::call;
 use crate::request::peer::PEER_MAX_IDLE;
@@ -23,8 +24,8 @@
 
 /// Header with the name of the sender.
 const SENDER: HeaderName = HeaderName::from_static("almondknot-sender");
-/// Header with the version of the configuration.
-const VERSION: HeaderName = HeaderName::from_static("almondknot-version");
+/// Header with the [`Revision`] of the configuration.
+const REVISION: HeaderName = HeaderName::from_static("almondknot-revision");
 const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
 const MAX_ANSWER_BYTES: usize = 4 << 10;
 
@@ -48,15 +49,18 @@
 
 /// Sends the configuration to a node until it has the latest one. A node that was not reached asks in its next exchange.
 async fn send_latest<P: Platform>(shared: &Arc<Shared<P>>, target: &Record) {
-    while let Some(configuration) = shared.configuration() {
-        let sent = tokio::time::timeout(RELAY_TIMEOUT, send(shared, target, &configuration)).await;
+    while let (Some(configuration), Some((revision, _))) =
+        (shared.configuration(), shared.active.revisions())
+    {
+        let sent = send(shared, target, &configuration, revision);
+        let sent = tokio::time::timeout(RELAY_TIMEOUT, sent).await;
         if let Err(reason) = sent.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
             let now = shared.now();
             shared.with_peer(&target.node, |peer| peer.record_failure(now));
             shared.log(&Event::PeerLost { peer: &target.node, reason: &reason });
             return;
         }
-        if shared.version() == configuration.version {
+        if shared.configuration().is_some_and(|latest| latest.digest == configuration.digest) {
             return;
         }
     }
@@ -66,11 +70,12 @@
     shared: &Arc<Shared<P>>,
     target: &Record,
     configuration: &Configuration,
+    revision: Revision,
 ) -> Result<(), String> {
     let request = Request::post(PATH)
         .header(http::header::HOST, target.address.to_string())
         .header(SENDER, &*shared.settings.node)
-        .header(VERSION, configuration.version)
+        .header(REVISION, revision.to_string())
         .body(Full::new(configuration.source.clone()))
         .map_err(|err| err.to_string())?;
     let sent = shared.peer_pool.send(target.address, request, PEER_MAX_IDLE, shared.now()).await;
@@ -82,14 +87,19 @@
     if status == StatusCode::OK { Ok(()) } else { Err(format!("status {status}")) }
 }
 
-/// Whether the body of a request to [`PATH`] may be newer than the active configuration.
-pub fn is_newer<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> bool {
-    let version: Option<u64> = call::parse_header(headers, &VERSION);
-    version.is_some_and(|version| version > shared.version())
+/// The document that the body of a request to [`PATH`] holds, if it replaces the one in force.
+pub fn newer_revision<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> Option<Revision> {
+    let revision: Revision = call::parse_header(headers, &REVISION)?;
+    shared.active.is_replaced_by(&revision, &[]).then_some(revision)
 }
 
 /// Applies a configuration from another node.
-pub fn receive<P: Platform>(shared: &Shared<P>, headers: &HeaderMap, body: &[u8]) {
+pub fn receive<P: Platform>(
+    shared: &Shared<P>,
+    headers: &HeaderMap,
+    revision: &Revision,
+    body: &[u8],
+) {
     let sender: Option<String> = call::parse_header(headers, &SENDER);
-    shared.apply_relayed(body, &sender.unwrap_or_default());
+    shared.apply_relayed(body, &sender.unwrap_or_default(), revision.origin, &[]);
 }
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -138,11 +138,11 @@
         }
         Clients::Nodes if request.uri().path() == relay::PATH => {
             let (parts, incoming) = request.into_parts();
-            if relay::is_newer(&shared, &parts.headers) {
+            if let Some(revision) = relay::newer_revision(&shared, &parts.headers) {
                 let Some(body) = read_message(&shared, incoming).await else {
                     return Payload::empty(StatusCode::BAD_REQUEST);
                 };
-                relay::receive(&shared, &parts.headers, &body);
+                relay::receive(&shared, &parts.headers, &revision, &body);
             }
             Payload::empty(StatusCode::OK)
         }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -1,8 +1,8 @@
 //! State shared by all tasks of the process.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use quarantine::Fingerprint;
@@ -10,6 +10,7 @@
 use tokio::sync::{Notify, watch};
 use units::Clock;
 
+use super::active::{ActiveConfiguration, Taken};
 use super::events::{Event, Sink};
 use super::follow::FollowState;
 use super::limiter::Limiter;
@@ -25,6 +26,7 @@
 use crate::decide::demand::Demand;
 use crate::decide::members::{Merged, Record, Table, UpstreamState};
 use crate::decide::parents::ParentTracker;
+use crate::decide::revision::{Origin, Revision};
 use crate::decide::split::Split;
 use crate::platform::{Platform, StoreEpoch, StoreError};
 use crate::request::call::Root;
@@ -38,9 +40,6 @@
 /// long to wait.
 const LEAVING_COST: Duration = Duration::from_secs(30);
 
-/// Versions of the configuration whose time of activation is remembered.
-const MAX_TAKEN_VERSIONS: usize = 64;
-
 /// A node that a request can be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -115,9 +114,8 @@
     pub store_epoch: watch::Sender<Option<StoreEpoch>>,
     /// How far the configuration is read from the store.
     pub follow: FollowState,
-    configuration: RwLock<Option<Arc<Configuration>>>,
-    /// Versions that were taken last, and when.
-    taken: Mutex<VecDeque<(u64, Instant)>>,
+    /// The configuration in force.
+    pub active: ActiveConfiguration,
 }
 
 impl<P: Platform> Shared<P> {
@@ -167,8 +165,7 @@
             synced: AtomicBool::new(false),
             store_epoch: watch::Sender::new(None),
             follow: FollowState::default(),
-            configuration: RwLock::new(None),
-            taken: Mutex::default(),
+            active: ActiveConfiguration::default(),
             platform,
             settings,
         })
@@ -204,7 +201,7 @@
 
     /// The active configuration.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        self.configuration.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.active.get()
     }
 
     /// The active configuration, once requests may be handled by it: what the store has may be older than what other
@@ -226,20 +223,11 @@
         self.configuration().map_or(0, |active| active.version)
     }
 
-    /// Latest version that has been in force here for at least `age`; 0 if there is none.
-    pub fn version_before(&self, age: Duration) -> u64 {
-        let now = self.now();
-        let taken = lock(&self.taken);
-        let mut latest = taken.iter().rev();
-        let old = latest.find(|(_, at)| now.saturating_duration_since(*at) >= age);
-        old.map_or(0, |(version, _)| *version)
-    }
-
-    /// Applies a configuration that another node has sent.
-    pub fn apply_relayed(&self, bytes: &[u8], from: &str) {
+    /// Applies a configuration that another node has sent, which has replaced `told` by it.
+    pub fn apply_relayed(&self, bytes: &[u8], from: &str, origin: Origin, told: &[Revision]) {
         let before = self.version();
         // What is wrong with it, if anything, is in the log.
-        let _ = self.apply_configuration(bytes, from);
+        let _ = self.apply_configuration(bytes, from, origin, told);
         if self.version() > before {
             self.follow.overtaken(self.version());
         }
@@ -251,9 +239,15 @@
         table.get(node).is_some_and(|member| member.record.zone == self.settings.zone)
     }
 
-    /// Validates a configuration and activates it if it is newer than the active one. Returns its version; `None` if it
-    /// is invalid.
-    pub fn apply_configuration(&self, bytes: &[u8], from: &str) -> Option<u64> {
+    /// Validates a configuration and activates it if it replaces the active one; `told` are those that its sender has replaced.
+    /// Returns its version; `None` if it is invalid.
+    pub fn apply_configuration(
+        &self,
+        bytes: &[u8],
+        from: &str,
+        origin: Origin,
+        told: &[Revision],
+    ) -> Option<u64> {
         let configuration = match self.platform.decode_configuration(bytes) {
             Ok(configuration) => configuration,
             Err(reason) => {
@@ -262,29 +256,19 @@
             }
         };
         let Configuration { version, digest, .. } = configuration;
-        {
-            let mut active = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
-            match active.as_ref() {
-                Some(active) if active.version == version => {
-                    if active.source != configuration.source {
-                        let reason = format!("version {version} is in force with other contents");
-                        self.configuration_refused(digest, from, &reason);
-                    }
-                    return Some(version);
-                }
-                Some(active) if active.version > version => return Some(version),
-                _ => *active = Some(Arc::new(configuration)),
-            }
-        }
-        {
-            let mut taken = lock(&self.taken);
-            if taken.len() == MAX_TAKEN_VERSIONS {
-                taken.pop_front();
+        match self.active.take(configuration, origin, told, self.now()) {
+            Taken::Known => return Some(version),
+            Taken::Conflict => {
+                let reason = format!("version {version} is in force with other contents");
+                self.configuration_refused(digest, from, &reason);
+                return Some(version);
             }
-            taken.push_back((version, self.now()));
+            Taken::Activated => {}
         }
         self.metrics.version.set(version as i64);
-        self.log(&Event::ConfigurationApplied { version, digest, from });
+        let Origin { epoch, offset } = origin;
+        let epoch = epoch.map(|epoch| epoch.0);
+        self.log(&Event::ConfigurationApplied { version, digest, epoch, offset, from });
         self.exchange_now.notify_one();
         if !self.is_neighbour(from) {
             self.follow.relay();
