--- a/components/mesh/src/configuration.rs
+++ b/components/mesh/src/configuration.rs
@@ -105,7 +105,7 @@
     ) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for (host, route) in routes {
-            hosts.entry(host).or_default().push(Arc::new(route));
+            hosts.entry(host.to_ascii_lowercase()).or_default().push(Arc::new(route));
         }
         for group in hosts.values_mut() {
             group.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
