Let odd entries of another writer hide or replace no others in the store

One odd entry among the records in the store kept nodes out of use or from being ready. What is skipped has a log line (record-skipped, bounded) and a metric.

--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -16,6 +16,11 @@
 /// Time without updates of a node after which it is removed.
 const REMOVE_AFTER: Duration = Duration::from_secs(30);
 
+/// Highest incarnation of a record in the store, in milliseconds since the epoch: higher ones are not of a node.
+pub const MAX_STORED_INCARNATION: u64 = 1 << 52;
+/// Highest incarnation that other nodes may tell of: room for nodes that had to rise above a stored one.
+const MAX_INCARNATION: u64 = 1 << 53;
+
 /// Whether a node's upstream accepts requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -144,6 +149,33 @@
     pub measurements: Option<Measurements>,
 }
 
+impl MemberUpdate {
+    /// Why the update can't be of a node.
+    fn contradiction(&self) -> Option<&'static str> {
+        let record = self.record.as_ref();
+        if self.incarnation > MAX_INCARNATION {
+            return Some("the incarnation is no time of a start");
+        }
+        let other = record.is_some_and(|record| record.node != self.node);
+        let mixed = record.is_some_and(|record| record.incarnation != self.incarnation);
+        (other || mixed).then_some("the record is of another node or incarnation")
+    }
+
+    /// Whether the update tells of a later incarnation of a node, or of more than this one has told.
+    fn supersedes(&self, known: &Member) -> bool {
+        let Member { record, measurements } = known;
+        if self.incarnation != record.incarnation {
+            return self.incarnation > record.incarnation;
+        }
+        let later_record = self.record.as_ref().is_some_and(|told| {
+            told.serial > record.serial
+                || told.serial == record.serial && told.address != record.address
+        });
+        let later_measurements = self.measurements.as_ref();
+        later_record || later_measurements.is_some_and(|told| told.sequence > measurements.sequence)
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     member: Member,
@@ -174,8 +206,10 @@
     Measurements,
     /// A node was added, or its record changed.
     Changed,
-    /// Another node knows a later incarnation of this node than the running one.
+    /// Another node knows a later incarnation of this node than the running one, or other data of the same one.
     Superseded(u64),
+    /// The update can't be of a node, for this reason.
+    Rejected(&'static str),
 }
 
 impl Table {
@@ -195,6 +229,9 @@
         source: Option<&Arc<str>>,
         now: Instant,
     ) -> Merged {
+        if let Some(reason) = update.contradiction() {
+            return Merged::Rejected(reason);
+        }
         let revision = self.revision + 1;
         let Some(entry) = self.entries.get_mut(&update.node) else {
             // An unknown node can't be reached without its record; an exchange with another node will bring it.
@@ -210,8 +247,12 @@
         };
         let known = &mut entry.member;
         if update.node == self.own {
-            let later = update.incarnation > known.record.incarnation;
-            return if later { Merged::Superseded(update.incarnation) } else { Merged::Unchanged };
+            let superseded = update.supersedes(known);
+            return if superseded {
+                Merged::Superseded(update.incarnation)
+            } else {
+                Merged::Unchanged
+            };
         }
         let restarted = update.incarnation > known.record.incarnation;
         if update.incarnation < known.record.incarnation || (restarted && update.record.is_none()) {
@@ -245,6 +286,12 @@
         Merged::Changed
     }
 
+    /// Raises this node's incarnation above one that another node knows; false if there is no higher one.
+    pub fn supersede(&mut self, incarnation: u64) -> bool {
+        let next = incarnation.saturating_add(1).min(MAX_INCARNATION);
+        self.update_own(|own| own.incarnation = own.incarnation.max(next))
+    }
+
     /// Changes this node's own record; false if it is the same as before.
     pub fn update_own(&mut self, change: impl FnOnce(&mut Record)) -> bool {
         let revision = self.revision + 1;
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -192,11 +192,40 @@
     pub bytes: Bytes,
 }
 
+/// An entry of the store that can't be used; the others can.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SkippedEntry {
+    /// Its key, as far as it is known.
+    pub key: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// A record of a keyed topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Bytes,
+}
+
+/// The records of a keyed topic.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KeyedRecords {
+    /// Those that can be used.
+    pub records: Vec<KeyedRecord>,
+    /// The others.
+    pub skipped: Vec<SkippedEntry>,
+}
+
 /// What a read of the store's log of configurations found.
 #[derive(Debug, Clone)]
 pub struct ConfigurationRead {
     /// The documents that were read, the newest first.
     pub documents: Vec<Document>,
+    /// Entries that were read and can't be used.
+    pub skipped: Vec<SkippedEntry>,
     /// Offset at which to continue reading.
     pub next_offset: u64,
     /// Whether the log has further records, which were not sent.
@@ -245,7 +274,7 @@
     ) -> impl Future<Output = Answer<ConfigurationRead>> + Send;
 
     /// Reads the records of all nodes.
-    fn node_records(&self) -> impl Future<Output = Answer<Vec<Bytes>>> + Send;
+    fn node_records(&self) -> impl Future<Output = Answer<KeyedRecords>> + Send;
 
     /// Stores the record of a node under its name.
     fn put_record(&self, node: &str, record: Vec<u8>) -> impl Future<Output = Answer<()>> + Send;
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -99,8 +99,16 @@
         reason: &'a str,
         waited_ms: u64,
     },
+    /// An entry of the store, or what another node told of a node, can't be used; the others can.
+    RecordSkipped {
+        key: &'a str,
+        #[serde(rename = "why")]
+        reason: &'a str,
+        from: &'a str,
+    },
     MembersRead {
         records: usize,
+        skipped: usize,
         /// Records that were unknown or newer than the known ones.
         changed: usize,
         epoch: Option<u64>,
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -279,6 +279,9 @@
     offset: Option<u64>,
     epoch: Option<StoreEpoch>,
 ) {
+    for entry in &read.skipped {
+        shared.record_skipped(&entry.key, &entry.reason, "store");
+    }
     // An invalid document hides no earlier one.
     let found = read.documents.iter().find_map(|document| {
         let origin = Origin { epoch, offset: document.offset };
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -52,6 +52,8 @@
     pub epoch: IntGauge,
     /// Times that it was restored from an older copy.
     pub restores: IntCounter,
+    /// Entries of the store, and what other nodes told of nodes, that can't be used.
+    pub skipped_records: IntCounter,
     /// Epochs that were ignored: invalid ones, and ones older than the latest.
     pub ignored_epochs: IntCounterVec,
 }
@@ -73,6 +75,10 @@
                 "store_restores_total",
                 "Times that the store was restored from an older copy.",
             )?,
+            skipped_records: registry.counter(
+                "records_skipped_total",
+                "Entries of the store, and updates of other nodes, that can't be used.",
+            )?,
             ignored_epochs: registry.counters(
                 "store_epochs_ignored_total",
                 "Answers of the store with an invalid or an older epoch.",
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -40,6 +40,12 @@
 /// long to wait.
 const LEAVING_COST: Duration = Duration::from_secs(30);
 
+/// Unusable entries that are logged one by one; of later ones, each of so many is.
+const MAX_SKIPPED_LINES: u64 = 64;
+const SKIPPED_PER_LINE: u64 = 100;
+/// Longest key in the log.
+const MAX_KEY_CHARS: usize = 64;
+
 /// A node that a request can be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -112,6 +118,8 @@
     pub synced: AtomicBool,
     /// Latest known epoch of the store.
     pub store_epoch: watch::Sender<Option<StoreEpoch>>,
+    /// Triggers a write of this node's record to the store.
+    pub record_outdated: Notify,
     /// How far the configuration is read from the store.
     pub follow: FollowState,
     /// The configuration in force.
@@ -164,6 +172,7 @@
             leaving: AtomicBool::new(false),
             synced: AtomicBool::new(false),
             store_epoch: watch::Sender::new(None),
+            record_outdated: Notify::new(),
             follow: FollowState::default(),
             active: ActiveConfiguration::default(),
             platform,
@@ -276,6 +285,16 @@
         Some(version)
     }
 
+    /// Records that an entry can't be used; some of them are logged.
+    pub fn record_skipped(&self, key: &str, reason: &str, from: &str) {
+        let skipped = &self.metrics.store.skipped_records;
+        skipped.inc();
+        if skipped.get() <= MAX_SKIPPED_LINES || skipped.get().is_multiple_of(SKIPPED_PER_LINE) {
+            let key: String = key.chars().take(MAX_KEY_CHARS).collect();
+            self.log(&Event::RecordSkipped { key: &key, reason, from });
+        }
+    }
+
     fn configuration_refused(&self, digest: Digest, from: &str, reason: &str) {
         self.metrics.refused_configurations.inc();
         self.log(&Event::ConfigurationRefused { from, digest, reason });
@@ -299,10 +318,12 @@
                 self.exchange_now.notify_one();
             }
             Merged::Superseded(incarnation) => {
-                lock(&self.members)
-                    .update_own(|own| own.incarnation = own.incarnation.max(incarnation + 1));
-                self.exchange_now.notify_one();
+                if lock(&self.members).supersede(incarnation) {
+                    self.exchange_now.notify_one();
+                    self.record_outdated.notify_one();
+                }
             }
+            Merged::Rejected(reason) => self.record_skipped(node, reason, from),
         }
     }
 
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -10,9 +10,9 @@
 use super::events::Event;
 use super::shared::{Shared, lock};
 use super::{announced, control, epoch};
-use crate::decide::members::{MemberUpdate, Merged, Record, SavedUpstream};
+use crate::decide::members::{MAX_STORED_INCARNATION, MemberUpdate, Merged, Record, SavedUpstream};
 use crate::decide::notice::Notice;
-use crate::platform::{AnnouncedState, Answer, Heartbeat, Platform, StoreEpoch};
+use crate::platform::{AnnouncedState, Answer, Heartbeat, KeyedRecords, Platform, StoreEpoch};
 
 /// Delays before the records are read again at startup.
 const REREAD_DELAYS: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_500)];
@@ -36,8 +36,9 @@
         match result {
             Ok(records) => {
                 backoff.succeeded(&shared, "records");
+                let (records, skipped) = decode_records(&shared, &records);
                 restore_upstream(&shared, &records, epoch.valid());
-                merge_records(&shared, &records, epoch.valid());
+                merge_records(&shared, records, skipped, epoch.valid());
                 break;
             }
             Err(err) => backoff.failed(&shared, "records", asked, &err).await,
@@ -52,9 +53,8 @@
         shared.synced.store(true, Ordering::Relaxed);
     };
     tokio::join!(compared, reread_records(&shared));
-    let mut epochs = shared.store_epoch.subscribe();
-    // Fails only without a sender, which is part of `shared`.
-    while let Ok(latest) = epochs.wait_for(|latest| *latest > written).await.map(|latest| *latest) {
+    loop {
+        let latest = wait_outdated(&shared, written).await;
         tokio::time::sleep(REWRITE_SPREAD.mul_f64(rand::random_range(0.0..1.0))).await;
         if shared.leaving.load(Ordering::Relaxed) {
             // The record that the shutdown saves has more in it.
@@ -68,6 +68,43 @@
     }
 }
 
+/// Waits until the record that was written in an epoch has to be written again, as the store was restored or the record has
+/// another incarnation now. Returns the latest epoch.
+async fn wait_outdated<P: Platform>(
+    shared: &Shared<P>,
+    written: Option<StoreEpoch>,
+) -> Option<StoreEpoch> {
+    let mut epochs = shared.store_epoch.subscribe();
+    tokio::select! {
+        // Fails only without a sender, which is part of `shared`.
+        _ = epochs.wait_for(|latest| *latest > written) => {}
+        () = shared.record_outdated.notified() => {}
+    }
+    *shared.store_epoch.borrow()
+}
+
+/// Decodes the records of nodes; returns those that can be used and the number of the others.
+fn decode_records<P: Platform>(shared: &Shared<P>, read: &KeyedRecords) -> (Vec<Record>, usize) {
+    let mut records = Vec::new();
+    let skip = |key: &str, reason: &str| shared.record_skipped(key, reason, "store");
+    for entry in &read.skipped {
+        skip(&entry.key, &entry.reason);
+    }
+    for entry in &read.records {
+        match serde_json::from_slice::<Record>(&entry.value) {
+            // Records in another version's format too; their nodes are learned through exchanges.
+            Err(err) => skip(&entry.key, &err.to_string()),
+            Ok(record) if *record.node != *entry.key => skip(&entry.key, "names another node"),
+            Ok(record) if record.incarnation > MAX_STORED_INCARNATION => {
+                skip(&entry.key, "the incarnation is no time of a start");
+            }
+            Ok(record) => records.push(record),
+        }
+    }
+    let skipped = read.skipped.len() + read.records.len() - records.len();
+    (records, skipped)
+}
+
 /// Reads the records again, as other nodes may be starting at the same time.
 async fn reread_records<P: Platform>(shared: &Shared<P>) {
     for delay in REREAD_DELAYS {
@@ -76,7 +113,10 @@
         let Answer { epoch, result } = shared.platform.node_records().await;
         epoch::observe_answer(shared, &epoch);
         match result {
-            Ok(records) => merge_records(shared, &records, epoch.valid()),
+            Ok(records) => {
+                let (records, skipped) = decode_records(shared, &records);
+                merge_records(shared, records, skipped, epoch.valid());
+            }
             Err(err) => shared.store_lost(&err, asked),
         }
     }
@@ -110,16 +150,14 @@
 /// Restores the upstream state that the previous incarnation of this node saved when it was stopped.
 fn restore_upstream<P: Platform>(
     shared: &Shared<P>,
-    records: &[bytes::Bytes],
+    records: &[Record],
     epoch: Option<StoreEpoch>,
 ) {
-    let decoded = records.iter().filter_map(|record| serde_json::from_slice::<Record>(record).ok());
-    let last = decoded
-        .filter(|record| record.node == shared.settings.node)
-        .max_by_key(|record| record.incarnation);
-    let saved = last.and_then(|record| record.saved_upstream);
+    let own = records.iter().find(|record| record.node == shared.settings.node);
+    let saved = own.and_then(|record| record.saved_upstream.clone());
     let usable = saved.filter(|saved| {
-        let age = shared.wall_ms().saturating_sub(saved.stopped_ms);
+        // The clock may have been set back since.
+        let age = shared.wall_ms().abs_diff(saved.stopped_ms);
         // After a restore of the store, a later state may be lost. Then only a departure is certain still to hold.
         let latest = saved.store_epoch == epoch || saved.leaving_ms.is_some();
         age < SAVED_STATE_MAX_AGE.as_millis() as u64 && latest
@@ -160,14 +198,13 @@
 
 fn merge_records<P: Platform>(
     shared: &Shared<P>,
-    records: &[bytes::Bytes],
+    records: Vec<Record>,
+    skipped: usize,
     epoch: Option<StoreEpoch>,
 ) {
     let now = shared.now();
-    let mut changed = 0;
+    let (read, mut changed) = (records.len(), 0);
     for record in records {
-        // Records in another version's format are skipped; their nodes are learned through exchanges.
-        let Ok(record) = serde_json::from_slice::<Record>(record) else { continue };
         let (node, incarnation) = (record.node.clone(), record.incarnation);
         let update = MemberUpdate {
             node: node.clone(),
@@ -180,5 +217,5 @@
         shared.membership_changed(result, &node, "store");
     }
     let epoch = epoch.map(|epoch| epoch.0);
-    shared.log(&Event::MembersRead { records: records.len(), changed, epoch });
+    shared.log(&Event::MembersRead { records: read, skipped, changed, epoch });
 }
--- a/components/mesh/tests/follow.rs
+++ b/components/mesh/tests/follow.rs
@@ -88,7 +88,13 @@
 fn a_read_that_waits_is_contradicted_by_what_another_read_finds() {
     let position = Position { epoch: FIRST, offset: 3 };
     let read = |next_offset| {
-        Ok(ConfigurationRead { documents: Vec::new(), next_offset, more: false, bytes: 0 })
+        Ok(ConfigurationRead {
+            documents: Vec::new(),
+            skipped: Vec::new(),
+            next_offset,
+            more: false,
+            bytes: 0,
+        })
     };
     let lost = Err(StoreError::NoResponse("no answer in time".to_owned()));
     expect_that!(position.contradiction(FIRST, &read(3)), none());
