Believe that an upstream is leaving whatever the number of its heartbeat

A heartbeat with the greatest sequence number made all later ones of that incarnation stale, so that the one which said that the upstream was leaving was acknowledged and dropped: requests went on to it (DRAIN). Leaving is not taken back within an incarnation, so that it is now believed in any order. The test failed before (requests reached the upstream after the drain time) and passes.

--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -180,7 +180,9 @@
             return Change::Stale;
         }
         if heartbeat.sequence <= known.sequence {
-            return Change::Stale;
+            // An incarnation that leaves never returns, so that the order doesn't matter.
+            let leaves = heartbeat.state == AnnouncedState::Draining;
+            return if leaves { self.leave(now) } else { Change::Stale };
         }
         self.heard_at = now.monotonic;
         let leaves = heartbeat.state == AnnouncedState::Draining && self.leaving_since.is_none();
