Ignore summaries of regions that are of the future

The latest summary of a region counts, by the clock of its delegate; one far ahead would have kept all later ones out and never grown old. Now one that is more than a minute ahead of this node's clock is skipped. Found by going through what the greatest value wins; no test, as no writer but the nodes sends them.

--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -38,6 +38,8 @@
 const URGENT_DELAY: Duration = Duration::from_millis(40);
 /// Age at which the summary of another region is ignored.
 const SUMMARY_MAX_AGE: Duration = Duration::from_secs(8);
+/// Most that the clock of another region's delegate may be ahead of this node's.
+const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time for which a version was in force here before it is sent to another failure domain of the region, or to another
 /// region: they should have read it from the store by then.
@@ -328,7 +330,10 @@
 ) {
     let mut regions = lock(&shared.regions);
     let newer = regions.get(&region).is_none_or(|known| known.created_ms < summary.created_ms);
-    if region != shared.settings.region && newer {
+    let latest_ms = shared.wall_ms().saturating_add(MAX_CLOCK_LEAD.as_millis() as u64);
+    if summary.created_ms > latest_ms {
+        shared.record_skipped(&region, "the summary is of the future", "node");
+    } else if region != shared.settings.region && newer {
         lock(&shared.members).refresh_region(&region, &summary.silent, now);
         regions.insert(region, summary);
     }
