--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -234,16 +234,7 @@
         }
         let revision = self.revision + 1;
         let Some(entry) = self.entries.get_mut(&update.node) else {
-            // An unknown node can't be reached without its record; an exchange with another node will bring it.
-            let Some(record) = update.record else { return Merged::Unchanged };
-            let member = Member { record, measurements: update.measurements.unwrap_or_default() };
-            let source = source.cloned();
-            let entry =
-                Entry { member, revision, record_revision: revision, heard_at: now, source };
-            self.entries.insert(update.node, entry);
-            self.revision = revision;
-            self.rebuild_index();
-            return Merged::Changed;
+            return self.insert(update, source, now);
         };
         let known = &mut entry.member;
         if update.node == self.own {
@@ -286,6 +277,20 @@
         Merged::Changed
     }
 
+    /// Adds an unknown node.
+    fn insert(&mut self, update: MemberUpdate, source: Option<&Arc<str>>, now: Instant) -> Merged {
+        // It can't be reached without its record; an exchange with another node will bring it.
+        let Some(record) = update.record else { return Merged::Unchanged };
+        let member = Member { record, measurements: update.measurements.unwrap_or_default() };
+        self.revision += 1;
+        let revision = self.revision;
+        let source = source.cloned();
+        let entry = Entry { member, revision, record_revision: revision, heard_at: now, source };
+        self.entries.insert(update.node, entry);
+        self.rebuild_index();
+        Merged::Changed
+    }
+
     /// Raises this node's incarnation above one that another node knows; false if there is no higher one.
     pub fn supersede(&mut self, incarnation: u64) -> bool {
         let next = incarnation.saturating_add(1).min(MAX_INCARNATION);
