Don't count a node as failed that refuses a relayed configuration

A node of an earlier version answers 400 to it, and would have been avoided for a moment after each change while nodes are replaced. No test: no two versions run together here.

--- a/components/mesh/src/process/relay.rs
+++ b/components/mesh/src/process/relay.rs
@@ -84,7 +84,12 @@
     let collected = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
     collected.map_err(|err| err.to_string())?;
     connection.release(shared.now());
-    if status == StatusCode::OK { Ok(()) } else { Err(format!("status {status}")) }
+    if status != StatusCode::OK {
+        // A node of an earlier version, which asks in its exchanges.
+        let reason = format!("status {status} to a configuration");
+        shared.log(&Event::PeerLost { peer: &target.node, reason: &reason });
+    }
+    Ok(())
 }
 
 /// The document that the body of a request to [`PATH`] holds, if it replaces the one in force.
