--- a/components/mesh/src/decide/revision.rs
+++ b/components/mesh/src/decide/revision.rs
@@ -4,8 +4,8 @@
 //! contents. A document of one version is therefore known by its contents and by where the store has it: in the later epoch
 //! of the store, or, within one epoch, at the lower offset, as a version is written once there.
 //!
-//! A copy of the store may also bring back a document that was replaced in that way. It is at the same offset as before, whereas one
-//! that was written again is not. So nodes remember what they replaced, and tell each other.
+//! A copy of the store may also bring back a document that was replaced in that way. It is at the same offset as before,
+//! whereas one that was written again is not. So nodes remember what they replaced, and tell each other.
 
 use std::fmt;
 use std::str::FromStr;
@@ -46,8 +46,8 @@
             == (other.version, other.digest, other.origin.offset)
     }
 
-    /// Whether this document replaces `active`. `replaced` are those that this node has replaced, and `told` those that
-    /// the node has replaced which sends this one.
+    /// Whether this document replaces `active`. This node has replaced the documents in `replaced`, and the sender of this
+    /// one those in `told`.
     pub fn replaces(&self, active: &Self, replaced: &[Self], told: &[Self]) -> bool {
         if self.version != active.version || self.digest == active.digest {
             return self.version > active.version;
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -2,9 +2,9 @@
 //!
 //! Each node exchanges changes with the delegate of its failure domain, and these delegates with the delegate of the
 //! region. Delegates of regions exchange with each other in every second round, and send only sums, as traffic between
-//! regions is expensive. Each failure domain reads the configuration from the store by itself, so that it is sent to another one
-//! only if that one is late. Each node derives the delegates from its own view, so differing views cost only a few
-//! additional messages.
+//! regions is expensive. Each failure domain reads the configuration from the store by itself, so that it is sent to
+//! another one only if that one is late. Each node derives the delegates from its own view, so differing views cost only
+//! a few additional messages.
 
 pub mod targets;
 
--- a/components/mesh/src/process/exchange/targets.rs
+++ b/components/mesh/src/process/exchange/targets.rs
@@ -14,9 +14,9 @@
 /// Rounds between exchanges with a random node, which reconnect a membership that was partitioned.
 const RANDOM_ROUNDS: u64 = 10;
 
-/// Whether this node reads the store for its failure domain. In its own view, that is the first node that reaches both the
-/// store and this node, and one more for each node before it whose reads fail: where the store refuses many nodes, those that
-/// can read are found in a few steps.
+/// Whether this node reads the store for its failure domain. In its own view, that is the first node that reaches both
+/// the store and this node, and one more for each node before it whose reads fail: where the store refuses many nodes,
+/// those that can read are found in a few steps.
 pub fn is_reader<P: Platform>(shared: &Shared<P>, now: Instant) -> bool {
     let present = present_neighbours(shared, now, |record| record.node < shared.settings.node);
     let lost = present.iter().filter(|(_, store_lost)| *store_lost).count();
@@ -30,8 +30,8 @@
     first.filter(|first| first.node < shared.settings.node || shared.follow.is_store_lost())
 }
 
-/// The other nodes of this failure domain that can be reached and that `include` accepts, ordered by name, and whether their
-/// last read of the store failed.
+/// The other nodes of this failure domain that can be reached and that `include` accepts, ordered by name, and whether
+/// their last read of the store failed.
 fn present_neighbours<P: Platform>(
     shared: &Shared<P>,
     now: Instant,
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -248,8 +248,8 @@
         table.get(node).is_some_and(|member| member.record.zone == self.settings.zone)
     }
 
-    /// Validates a configuration and activates it if it replaces the active one; `told` are those that its sender has replaced.
-    /// Returns its version; `None` if it is invalid.
+    /// Validates a configuration and activates it if it replaces the active one; `told` are those that its sender has
+    /// replaced. Returns its version; `None` if it is invalid.
     pub fn apply_configuration(
         &self,
         bytes: &[u8],
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -139,7 +139,8 @@
     response
 }
 
-/// When a request has to be in: at the timeout of its route by the configuration that its head met, or when its caller gives up.
+/// When a request has to be in: at the timeout of its route by the configuration that its head met, or when its caller
+/// gives up.
 fn body_deadline<P: Platform>(
     shared: &Shared<P>,
     parts: &request::Parts,
