--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -660,6 +661,8 @@
         if os.environ.get("KEEP_LOGS"):
             for path in Path(self.folder).glob("*.log"):
                 (Path(os.environ["KEEP_LOGS"]) / path.name).write_bytes(path.read_bytes())
+        # The script ends with `os._exit`, which would leave it behind.
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def rule(prefix, services, kind="idempotent", timeout="1200ms", target="1000ms", priority=1, attempts=2):
