--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -432,6 +432,8 @@
     def __init__(self, request_id, path, machine, sent_at, kept):
         self.id, self.path, self.machine, self.sent_at, self.kept = request_id, path, machine, sent_at, kept
         self.status, self.whole, self.at = None, False, None
+        # Whether the node ended the connection before a whole answer.
+        self.closed = False
 
     @property
     def served(self):
@@ -455,7 +457,10 @@
         record("sent", self.machine.name, request_id, method, path, len(body))
         try:
             await asyncio.wait_for(self.exchange(answer, method, body, deadline_ms, pace), deadline_ms / 1e3 + 0.6)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except asyncio.TimeoutError:
+            self.close()
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            answer.closed = True
             self.close()
         answer.at = self.used_at = record.now()
         record("answered", self.machine.name, request_id, answer.status, "whole" if answer.whole else "not-whole")
