Count crashes of a cleared request anew

Seen: `a_request_that_was_cleared_is_quarantined_after_two_further_crashes` (quarantine) failed on the table before: a request that an upstream has answered once is never quarantined again, though it may crash each upstream from then on, for example after a release.

Cause: an answer set a flag of the whole request, which nothing took back.

Change: an answer clears the crashes that are known then; each crash has a flag of its own, which the updates between nodes name. Merging stays independent of order and repetition. The schema is unchanged: a cleared update now names its crash as well. Updates of earlier versions that name none are passed over.

Measured: the new test red before and green now; the property test on the order of updates has the same inputs, with the crash named where an update clears.

--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -199,7 +199,7 @@
         known,
         domains: sums.0,
         regions: sums.1,
-        suspects: recent.filter_map(wire_suspect).collect(),
+        suspects: recent.map(wire_suspect).collect(),
         configuration: document.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok()),
     }
 }
@@ -247,13 +247,9 @@
     version < shared.active.version_before(lateness, shared.now())
 }
 
-fn wire_suspect(update: &SuspectUpdate) -> Option<Suspect> {
-    let crash = update.crash.as_ref()?;
-    Some(Suspect {
-        fingerprint: update.fingerprint.0,
-        node: crash.node.clone(),
-        epoch: crash.epoch,
-    })
+fn wire_suspect(update: &SuspectUpdate) -> Suspect {
+    let Crash { node, epoch } = update.crash.clone();
+    Suspect { fingerprint: update.fingerprint.0, node, epoch }
 }
 
 /// Applies what another node has sent.
@@ -368,7 +364,8 @@
     let crash = Crash { node: suspect.node, epoch: suspect.epoch };
     let update = SuspectUpdate {
         fingerprint: Fingerprint(suspect.fingerprint),
-        crash: Some(crash),
+        crash,
+        cleared: false,
         call: String::new(),
     };
     let mut updates = lock(&shared.suspect_updates);
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -382,8 +382,9 @@
     /// Records a request that was in flight when an upstream crashed.
     pub fn add_suspect(&self, fingerprint: Fingerprint, epoch: u64) {
         let Ok(node) = self.settings.node.parse() else { return };
-        let crash = Some(quarantine::Crash { node, epoch });
-        let update = quarantine::SuspectUpdate { fingerprint, crash, call: String::new() };
+        let crash = quarantine::Crash { node, epoch };
+        let call = String::new();
+        let update = quarantine::SuspectUpdate { fingerprint, crash, cleared: false, call };
         lock(&self.suspects).merge(&update, self.now());
         lock(&self.suspect_updates).push(update);
         self.exchange_now.notify_one();
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -288,7 +288,8 @@
 
     /// Clears a request of suspicion after an answer.
     pub fn clear_suspect(&self, fingerprint: Fingerprint) {
-        if let Some(update) = lock(&self.quarantine).clear(fingerprint) {
+        let cleared = lock(&self.quarantine).clear(fingerprint);
+        for update in cleared {
             // The control thread ends only with the process.
             let _ = self.suspects.send(SuspectReport { update, delivered: None });
         }
--- a/components/node/src/request/local.rs
+++ b/components/node/src/request/local.rs
@@ -182,11 +182,13 @@
     failed.crashed = UpstreamPool::<C>::has_crashed(upstream.address).await;
     if failed.crashed {
         shared.record_upstream_gone(epoch);
-        let crash = Some(Crash { node: shared.settings.node.clone(), epoch });
-        let call = format!("{} {}", head.method, head.path.path());
-        shared
-            .report_suspect(SuspectUpdate { fingerprint: context.fingerprint, crash, call })
-            .await;
+        let update = SuspectUpdate {
+            fingerprint: context.fingerprint,
+            crash: Crash { node: shared.settings.node.clone(), epoch },
+            cleared: false,
+            call: format!("{} {}", head.method, head.path.path()),
+        };
+        shared.report_suspect(update).await;
     }
     failed
 }
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -7,7 +7,7 @@
 
 use crate::fingerprint::Fingerprint;
 
-/// Crashes after which a request is quarantined.
+/// Crashes, with no answer since, after which a request is quarantined.
 const QUARANTINE_CRASHES: usize = 2;
 /// Time after which a suspect is removed.
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
@@ -28,8 +28,10 @@
     pub struct SuspectUpdate {
         /// Fingerprint of the request.
         pub fingerprint: Fingerprint,
-        /// Crash during which it was in flight; `None` when it was cleared.
-        pub crash: Option<Crash>,
+        /// Crash during which it was in flight.
+        pub crash: Crash,
+        /// An upstream has answered it since.
+        pub cleared: bool,
         /// Method and path, for reports.
         pub call: String,
     }
@@ -38,12 +40,10 @@
     pub struct Suspect {
         /// Method and path, for reports.
         pub call: String,
-        /// Crashes during which it was in flight.
-        pub crashes: Vec<Crash>,
+        /// Crashes during which it was in flight, and whether an upstream has answered it since.
+        pub crashes: HashMap<Crash, bool>,
         /// When it became known to this node.
         pub since: Instant,
-        /// A request with the same fingerprint was answered.
-        pub cleared: bool,
     }
 }
 
@@ -64,29 +64,31 @@
         self.entries.get(&fingerprint).is_some_and(Suspect::is_quarantined)
     }
 
-    /// Clears a request that was answered; returns the update for other nodes if it was an uncleared suspect.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> Option<SuspectUpdate> {
-        let entry = self.entries.get_mut(&fingerprint).filter(|entry| !entry.cleared)?;
-        entry.cleared = true;
-        Some(SuspectUpdate { fingerprint, crash: None, call: entry.call.clone() })
+    /// Clears a request that was answered of the crashes known so far; returns the updates for other nodes.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<SuspectUpdate> {
+        let Some(Suspect { call, crashes, .. }) = self.entries.get_mut(&fingerprint) else {
+            return Vec::new();
+        };
+        let clear = |(crash, cleared): (&Crash, &mut bool)| {
+            let newly = !std::mem::replace(cleared, true);
+            newly.then(|| SuspectUpdate {
+                fingerprint,
+                crash: crash.clone(),
+                cleared: true,
+                call: call.clone(),
+            })
+        };
+        crashes.iter_mut().filter_map(clear).collect()
     }
 
     /// Merges an update; true when it changed the table and has to be forwarded.
     pub fn merge(&mut self, update: &SuspectUpdate, now: Instant) -> bool {
-        let new_entry = || Suspect {
-            call: update.call.clone(),
-            crashes: Vec::new(),
-            since: now,
-            cleared: false,
-        };
+        let new_entry =
+            || Suspect { call: update.call.clone(), crashes: HashMap::new(), since: now };
         let entry = self.entries.entry(update.fingerprint).or_insert_with(new_entry);
-        let changed = match &update.crash {
-            Some(crash) if entry.crashes.contains(crash) => false,
-            Some(crash) => {
-                entry.crashes.push(crash.clone());
-                true
-            }
-            None => !std::mem::replace(&mut entry.cleared, true),
+        let changed = match entry.crashes.get_mut(&update.crash) {
+            Some(cleared) => update.cleared && !std::mem::replace(cleared, true),
+            None => entry.crashes.insert(update.crash.clone(), update.cleared).is_none(),
         };
         self.evict_excess();
         changed
@@ -132,6 +134,7 @@
 
 impl Suspect {
     fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= QUARANTINE_CRASHES && !self.cleared
+        let uncleared = self.crashes.values().filter(|cleared| !**cleared);
+        uncleared.count() >= QUARANTINE_CRASHES
     }
 }
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -13,8 +13,8 @@
 const BYSTANDER: Fingerprint = Fingerprint(2);
 
 fn crash_update(fingerprint: Fingerprint, node: &str, epoch: u64) -> SuspectUpdate {
-    let crash = node.parse().ok().map(|node| Crash { node, epoch });
-    SuspectUpdate { fingerprint, crash, call: "POST /bookings".to_owned() }
+    let crash = Crash { node: node.parse().unwrap(), epoch };
+    SuspectUpdate { fingerprint, crash, cleared: false, call: "POST /bookings".to_owned() }
 }
 
 fn now() -> Instant {
@@ -41,14 +41,38 @@
     let mut table = SuspectTable::new();
     table.merge(&crash_update(POISON, "a", 1), now());
     table.merge(&crash_update(BYSTANDER, "a", 1), now());
-    expect_that!(table.clear(BYSTANDER), some(anything()));
-    expect_that!(table.clear(BYSTANDER), none(), "cleared only once");
+    expect_that!(table.clear(BYSTANDER).len(), eq(1));
+    expect_that!(table.clear(BYSTANDER), is_empty(), "cleared only once");
     table.merge(&crash_update(POISON, "b", 1), now());
     table.merge(&crash_update(BYSTANDER, "b", 1), now());
     expect_that!(table.is_quarantined(POISON), eq(true));
     expect_that!(table.is_quarantined(BYSTANDER), eq(false));
 }
 
+/// Guards against a request that is never quarantined again once it was answered, though it crashes each upstream since.
+#[gtest]
+fn a_request_that_was_cleared_is_quarantined_after_two_further_crashes() {
+    let mut table = SuspectTable::new();
+    table.merge(&crash_update(POISON, "a", 1), now());
+    table.clear(POISON);
+    table.merge(&crash_update(POISON, "b", 1), now());
+    expect_that!(table.is_quarantined(POISON), eq(false));
+    table.merge(&crash_update(POISON, "c", 1), now());
+    expect_that!(table.is_quarantined(POISON), eq(true));
+}
+
+/// Guards against a crash that counts again, as another node repeats the news of it.
+#[gtest]
+fn a_cleared_crash_that_is_told_again_stays_cleared() {
+    let mut table = SuspectTable::new();
+    let first = crash_update(BYSTANDER, "a", 1);
+    table.merge(&first, now());
+    table.clear(BYSTANDER);
+    expect_that!(table.merge(&first, now()), eq(false));
+    table.merge(&crash_update(BYSTANDER, "b", 1), now());
+    expect_that!(table.is_quarantined(BYSTANDER), eq(false));
+}
+
 #[gtest]
 fn quarantine_expires() {
     let clock = ManualClock::new();
@@ -76,7 +100,7 @@
             .iter()
             .map(|(fingerprint, epoch, clear)| {
                 let mut update = crash_update(Fingerprint(*fingerprint), "a", *epoch);
-                if *clear { update.crash = None; }
+                update.cleared = *clear;
                 update
             })
             .collect();
--- a/components/wire/src/suspect.rs
+++ b/components/wire/src/suspect.rs
@@ -15,13 +15,9 @@
         let mut to = out.reborrow().get(index as u32);
         to.set_fingerprint(from.fingerprint.0);
         to.set_call(from.call.as_str());
-        match &from.crash {
-            Some(crash) => {
-                to.set_node(crash.node.as_str());
-                to.set_epoch(crash.epoch);
-            }
-            None => to.set_cleared(true),
-        }
+        to.set_node(from.crash.node.as_str());
+        to.set_epoch(from.crash.epoch);
+        to.set_cleared(from.cleared);
     }
 }
 
@@ -29,14 +25,18 @@
 pub fn read_suspects(
     input: struct_list::Reader<'_, suspect::Owned>,
 ) -> capnp::Result<Vec<SuspectUpdate>> {
-    input.iter().map(read).collect()
+    input.iter().filter_map(|suspect| read(suspect).transpose()).collect()
 }
 
-fn read(input: suspect::Reader<'_>) -> capnp::Result<SuspectUpdate> {
-    let crash = match input.get_cleared() {
-        true => None,
-        false => Some(Crash { node: parse(input.get_node()?)?, epoch: input.get_epoch() }),
-    };
-    let call = input.get_call()?.to_str()?.to_owned();
-    Ok(SuspectUpdate { fingerprint: Fingerprint(input.get_fingerprint()), crash, call })
+/// Reads a suspect; `None` if it names no crash, as those that a node of an earlier version has cleared.
+fn read(input: suspect::Reader<'_>) -> capnp::Result<Option<SuspectUpdate>> {
+    if input.get_cleared() && input.get_node()?.is_empty() {
+        return Ok(None);
+    }
+    Ok(Some(SuspectUpdate {
+        fingerprint: Fingerprint(input.get_fingerprint()),
+        crash: Crash { node: parse(input.get_node()?)?, epoch: input.get_epoch() },
+        cleared: input.get_cleared(),
+        call: input.get_call()?.to_str()?.to_owned(),
+    }))
 }
