--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -17,5 +17,6 @@
 pub mod shared;
 pub mod shutdown;
 pub mod store;
+pub mod suspects;
 pub mod traffic;
 pub mod upstream;
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -107,6 +107,10 @@
     let age = shared.follow.answer_age(now);
     shared.metrics.store.answer_age.set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
     shared.metrics.members.set(lock(&shared.members).count_ready() as i64);
+    let suspects = lock(&shared.suspects);
+    shared.metrics.suspects.set(suspects.len() as i64);
+    shared.metrics.quarantined.set(suspects.quarantined().count() as i64);
+    drop(suspects);
     shared.metrics.upstream.running.set(i64::from(load.running));
     shared.metrics.upstream.waiting.set(i64::from(load.waiting));
     match shared.metrics.text() {
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -233,6 +233,12 @@
         reason: &'a str,
         after_ms: u64,
     },
+    /// A request is quarantined as it crashes upstreams, or no longer is.
+    QuarantineChanged {
+        fingerprint: &'a str,
+        active: bool,
+        from: &'a str,
+    },
     #[serde(rename = "woke")]
     Resumed {
         #[serde(rename = "stood_ms")]
--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -13,13 +13,14 @@
 use crate::decide::members::{self, Measurements, Record, Scope};
 use crate::decide::revision::Revision;
 use crate::platform::{Platform, StoreEpoch};
-use crate::process::epoch;
 use crate::process::shared::{Shared, lock};
+use crate::process::{epoch, suspects};
 
 /// Time for which a version was in force here before it is sent to another failure domain of the region, or to another
 /// region: they should have read it from the store by then.
 const DOMAIN_LATENESS: Duration = Duration::from_millis(300);
 const REGION_LATENESS: Duration = Duration::from_millis(700);
+/// Most suspects in one message.
 const MAX_SUSPECTS: usize = 256;
 
 type Sums = BTreeMap<Arc<str>, Summary>;
@@ -31,6 +32,23 @@
     fingerprint: u64,
     node: NodeId,
     epoch: u64,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    cleared: bool,
+}
+
+impl From<SuspectUpdate> for Suspect {
+    fn from(update: SuspectUpdate) -> Self {
+        let SuspectUpdate { fingerprint, crash: Crash { node, epoch }, cleared, .. } = update;
+        Self { fingerprint: fingerprint.0, node, epoch, cleared }
+    }
+}
+
+impl From<Suspect> for SuspectUpdate {
+    fn from(suspect: Suspect) -> Self {
+        let Suspect { fingerprint, node, epoch, cleared } = suspect;
+        let (fingerprint, crash) = (Fingerprint(fingerprint), Crash { node, epoch });
+        Self { fingerprint, crash, cleared, call: String::new() }
+    }
 }
 
 /// Message of one side of an exchange.
@@ -180,8 +198,7 @@
     let incarnation = table.own().map_or(0, |own| own.record.incarnation);
     drop(table);
     let (sums, known, report) = sums_for(shared, reader, cursor, now);
-    let updates = lock(&shared.suspect_updates);
-    let recent = updates.iter().rev().take(MAX_SUSPECTS);
+    let suspects = lock(&shared.suspects).updates_for(cursor.is_new(), MAX_SUSPECTS, now);
     Message {
         from: own.node.clone(),
         incarnation,
@@ -199,7 +216,7 @@
         known,
         domains: sums.0,
         regions: sums.1,
-        suspects: recent.map(wire_suspect).collect(),
+        suspects: suspects.into_iter().map(Suspect::from).collect(),
         configuration: document.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok()),
     }
 }
@@ -247,11 +264,6 @@
     version < shared.active.version_before(lateness, shared.now())
 }
 
-fn wire_suspect(update: &SuspectUpdate) -> Suspect {
-    let Crash { node, epoch } = update.crash.clone();
-    Suspect { fingerprint: update.fingerprint.0, node, epoch }
-}
-
 /// Applies what another node has sent.
 pub fn apply<P: Platform>(shared: &Shared<P>, message: Message) {
     let now = shared.now();
@@ -285,7 +297,7 @@
         apply_region(shared, &region, summary, &source, now);
     }
     for suspect in message.suspects {
-        apply_suspect(shared, suspect, now);
+        suspects::merge_relayed(shared, &suspect.into(), &source);
     }
     if let Some(configuration) = message.configuration {
         let origin = message.revision.map(|revision| revision.origin).unwrap_or_default();
@@ -359,19 +371,3 @@
     }
     plausible
 }
-
-fn apply_suspect<P: Platform>(shared: &Shared<P>, suspect: Suspect, now: Instant) {
-    let crash = Crash { node: suspect.node, epoch: suspect.epoch };
-    let update = SuspectUpdate {
-        fingerprint: Fingerprint(suspect.fingerprint),
-        crash,
-        cleared: false,
-        call: String::new(),
-    };
-    let mut updates = lock(&shared.suspect_updates);
-    if !updates.contains(&update) {
-        lock(&shared.suspects).merge(&update, now);
-        updates.push(update);
-        shared.exchange_now.notify_one();
-    }
-}
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -37,6 +37,10 @@
     pub version: IntGauge,
     /// Known nodes whose upstreams accept requests.
     pub members: IntGauge,
+    /// Requests that were in flight when an upstream crashed.
+    pub suspects: IntGauge,
+    /// Those of them that are quarantined.
+    pub quarantined: IntGauge,
     /// Metrics of the upstream beside the node.
     pub upstream: UpstreamMetrics,
 }
@@ -167,6 +171,9 @@
             version: registry
                 .gauge("configuration_version", "Version of the configuration in force.")?,
             members: registry.gauge("members_ready", "Nodes known whose upstreams take work.")?,
+            suspects: registry
+                .gauge("suspects", "Requests that were in flight when an upstream crashed.")?,
+            quarantined: registry.gauge("quarantined", "Suspects that are refused.")?,
             registry,
         })
     }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
-use quarantine::Fingerprint;
 use tokio::sync::{Notify, watch};
 use units::Clock;
 
@@ -90,8 +89,6 @@
     pub traffic: Mutex<Traffic>,
     /// Requests that were in flight when an upstream crashed.
     pub suspects: Mutex<quarantine::SuspectTable>,
-    /// Changes of `suspects`, oldest first; the latest are sent to other nodes.
-    pub suspect_updates: Mutex<Vec<quarantine::SuspectUpdate>>,
     /// Triggers an exchange with other nodes.
     pub exchange_now: Notify,
     /// Requests of callers and the upstream that have no answer yet.
@@ -154,7 +151,6 @@
             aggregates: Mutex::default(),
             traffic: Mutex::new(Traffic::new()),
             suspects: Mutex::default(),
-            suspect_updates: Mutex::default(),
             exchange_now: Notify::new(),
             open_requests: AtomicU32::new(0),
             shutdown: Shutdown::default(),
@@ -379,17 +375,6 @@
         routes.map(|route| (route.name.clone(), route.priority)).collect()
     }
 
-    /// Records a request that was in flight when an upstream crashed.
-    pub fn add_suspect(&self, fingerprint: Fingerprint, epoch: u64) {
-        let Ok(node) = self.settings.node.parse() else { return };
-        let crash = quarantine::Crash { node, epoch };
-        let call = String::new();
-        let update = quarantine::SuspectUpdate { fingerprint, crash, cleared: false, call };
-        lock(&self.suspects).merge(&update, self.now());
-        lock(&self.suspect_updates).push(update);
-        self.exchange_now.notify_one();
-    }
-
     /// Whether callers may send requests here, or why not.
     pub fn readiness(&self) -> Result<(), &'static str> {
         if *self.stopping.borrow() {
--- a/components/mesh/src/request/body.rs
+++ b/components/mesh/src/request/body.rs
@@ -166,7 +166,14 @@
                     stream.reader = Some(cx.waker().clone());
                     return Poll::Pending;
                 };
-                if frame.as_ref().is_none_or(|frame| frame.is_err()) {
+                let failed = frame.as_ref().is_some_and(|frame| frame.is_err());
+                if !failed
+                    && stream.rest.is_end_stream()
+                    && let Some(slot) = &stream.resources.slot
+                {
+                    slot.response_ended();
+                }
+                if failed || frame.is_none() {
                     // The connection of a streamed response is not reused.
                     *ended = true;
                     *open = None;
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -19,10 +19,10 @@
 use crate::decide::parents;
 use crate::decide::queue::SlotRequest;
 use crate::platform::{Heartbeat, Platform};
-use crate::process::announced;
 use crate::process::events::Event;
 use crate::process::limiter::Acquire;
 use crate::process::shared::{Shared, lock};
+use crate::process::{announced, suspects};
 
 /// Additional wait after the deadline for the upstream's own timeout response.
 const RESPONSE_GRACE: Duration = Duration::from_millis(40);
@@ -51,6 +51,9 @@
     pub complete: bool,
     /// Whether the call was sent to the upstream.
     sent: bool,
+    /// Whether the response so far is that of a run without an error.
+    succeeded: bool,
+    fingerprint: Fingerprint,
     /// Id of the request.
     id: HeaderValue,
 }
@@ -60,11 +63,28 @@
         shared: &Arc<Shared<P>>,
         call: &Call,
         head: &RequestHead,
+        fingerprint: Fingerprint,
         key: parents::Key,
         started: Instant,
     ) -> Self {
-        let (route, id) = (call.root.route.clone(), head.id.clone());
-        Self { shared: shared.clone(), route, started, key, complete: false, sent: false, id }
+        Self {
+            shared: shared.clone(),
+            route: call.root.route.clone(),
+            started,
+            key,
+            complete: false,
+            sent: false,
+            succeeded: false,
+            fingerprint,
+            id: head.id.clone(),
+        }
+    }
+
+    /// Records that the whole response has arrived: an upstream that has run the call to its end outlived it.
+    pub fn response_ended(&self) {
+        if self.succeeded {
+            suspects::record_answer(&self.shared, self.fingerprint);
+        }
     }
 
     /// Logs that the response was still being sent at its deadline.
@@ -123,7 +143,7 @@
         let mut parents = lock(&shared.parents);
         parents.add(time_left, now, call.root.clone(), call.internal)
     };
-    let mut slot = HeldSlot::new(shared, call, head, key, now);
+    let mut slot = HeldSlot::new(shared, call, head, fingerprint, key, now);
     // The upstream may have started to leave while the call waited.
     let upstream = match accepting_upstream(shared, call) {
         Ok(upstream) if left >= MIN_RUN_TIME => upstream,
@@ -284,17 +304,21 @@
         return Err(RunError::Mismatch);
     }
     announced::record_answer(shared, upstream, &parts, slot.started, not_run);
-    slot.complete = !not_run && !parts.status.is_server_error();
+    slot.succeeded = !not_run && !parts.status.is_server_error();
+    slot.complete = slot.succeeded;
     // A refusal that is written again later would be taken for an answer to the same request, sent once more.
     let reusable = !not_run && !closes_connection(&parts);
     let resources = Resources { slot: Some(slot), in_flight: None, connection: Some(connection) };
     let (body, resources) = Payload::read(incoming, resources, deadline)
         .await
         .map_err(|err| RunError::ConnectionLost(err.to_string()))?;
-    if let Some(Resources { connection: Some(connection), .. }) = resources
-        && reusable
-    {
-        connection.release_for(keep_alive(&parts.headers), shared.now());
+    if let Some(Resources { slot, connection, .. }) = resources {
+        if let Some(slot) = slot {
+            slot.response_ended();
+        }
+        if let Some(connection) = connection.filter(|_| reusable) {
+            connection.release_for(keep_alive(&parts.headers), shared.now());
+        }
     }
     call::strip_headers(&mut parts.headers);
     Ok(Outcome::Answer { head: Box::new(parts), body, not_run })
@@ -348,7 +372,7 @@
             let crashed =
                 socket::connect(None, shared.settings.upstream, PROBE_TIMEOUT).await.is_err();
             if crashed {
-                shared.add_suspect(fingerprint, upstream.started_ms);
+                suspects::record_crash(shared, fingerprint, upstream.started_ms);
             }
             Outcome::Failed(if crashed { Fault::Crashed } else { Fault::ConnectionLost })
         }
--- a/components/node/src/process/shared.rs
+++ b/components/node/src/process/shared.rs
@@ -288,7 +288,7 @@
 
     /// Clears a request of suspicion after an answer.
     pub fn clear_suspect(&self, fingerprint: Fingerprint) {
-        let cleared = lock(&self.quarantine).clear(fingerprint);
+        let cleared = lock(&self.quarantine).clear(fingerprint, self.clock.now());
         for update in cleared {
             // The control thread ends only with the process.
             let _ = self.suspects.send(SuspectReport { update, delivered: None });
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -11,6 +11,8 @@
 const QUARANTINE_CRASHES: usize = 2;
 /// Time after which a suspect is removed.
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
+/// Time for which a change is told to nodes that may know it: exchanges spread it in a fraction of that.
+const UPDATE_AGE: Duration = Duration::from_secs(15);
 /// Maximum number of suspects; the oldest are evicted first.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -44,6 +46,8 @@
         pub crashes: HashMap<Crash, bool>,
         /// When it became known to this node.
         pub since: Instant,
+        /// When a crash was added or cleared last.
+        pub changed_at: Instant,
     }
 }
 
@@ -65,35 +69,57 @@
     }
 
     /// Clears a request that was answered of the crashes known so far; returns the updates for other nodes.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<SuspectUpdate> {
-        let Some(Suspect { call, crashes, .. }) = self.entries.get_mut(&fingerprint) else {
-            return Vec::new();
-        };
-        let clear = |(crash, cleared): (&Crash, &mut bool)| {
-            let newly = !std::mem::replace(cleared, true);
-            newly.then(|| SuspectUpdate {
-                fingerprint,
-                crash: crash.clone(),
-                cleared: true,
-                call: call.clone(),
-            })
-        };
-        crashes.iter_mut().filter_map(clear).collect()
+    pub fn clear(&mut self, fingerprint: Fingerprint, now: Instant) -> Vec<SuspectUpdate> {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else { return Vec::new() };
+        let mut updates = entry.updates(fingerprint);
+        updates.retain(|update| !update.cleared);
+        for update in &mut updates {
+            update.cleared = true;
+            entry.crashes.insert(update.crash.clone(), true);
+            entry.changed_at = now;
+        }
+        updates
     }
 
     /// Merges an update; true when it changed the table and has to be forwarded.
     pub fn merge(&mut self, update: &SuspectUpdate, now: Instant) -> bool {
-        let new_entry =
-            || Suspect { call: update.call.clone(), crashes: HashMap::new(), since: now };
+        let new_entry = || Suspect {
+            call: update.call.clone(),
+            crashes: HashMap::new(),
+            since: now,
+            changed_at: now,
+        };
         let entry = self.entries.entry(update.fingerprint).or_insert_with(new_entry);
         let changed = match entry.crashes.get_mut(&update.crash) {
             Some(cleared) => update.cleared && !std::mem::replace(cleared, true),
             None => entry.crashes.insert(update.crash.clone(), update.cleared).is_none(),
         };
+        if changed {
+            entry.changed_at = now;
+        }
         self.evict_excess();
         changed
     }
 
+    /// Updates to send to another node, at most `max`: of quarantined requests, and of those that changed lately. A node
+    /// that may know none, as it `is_new`, is sent all suspects that were not cleared, too.
+    pub fn updates_for(&self, is_new: bool, max: usize, now: Instant) -> Vec<SuspectUpdate> {
+        let mut entries: Vec<(&Fingerprint, &Suspect)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| {
+                now.saturating_duration_since(entry.changed_at) < UPDATE_AGE
+                    || entry.is_quarantined()
+                    || is_new && entry.crashes.values().any(|cleared| !cleared)
+            })
+            .collect();
+        entries.sort_unstable_by_key(|(_, entry)| {
+            std::cmp::Reverse((entry.is_quarantined(), entry.changed_at))
+        });
+        let updates = entries.into_iter().flat_map(|(print, entry)| entry.updates(*print));
+        updates.take(max).collect()
+    }
+
     /// Removes suspects past their time to live.
     pub fn tick(&mut self, now: Instant) {
         self.entries.retain(|_, entry| now.saturating_duration_since(entry.since) < SUSPECT_TTL);
@@ -133,6 +159,16 @@
 }
 
 impl Suspect {
+    fn updates(&self, fingerprint: Fingerprint) -> Vec<SuspectUpdate> {
+        let update = |(crash, cleared): (&Crash, &bool)| SuspectUpdate {
+            fingerprint,
+            crash: crash.clone(),
+            cleared: *cleared,
+            call: self.call.clone(),
+        };
+        self.crashes.iter().map(update).collect()
+    }
+
     fn is_quarantined(&self) -> bool {
         let uncleared = self.crashes.values().filter(|cleared| !**cleared);
         uncleared.count() >= QUARANTINE_CRASHES
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -41,8 +41,8 @@
     let mut table = SuspectTable::new();
     table.merge(&crash_update(POISON, "a", 1), now());
     table.merge(&crash_update(BYSTANDER, "a", 1), now());
-    expect_that!(table.clear(BYSTANDER).len(), eq(1));
-    expect_that!(table.clear(BYSTANDER), is_empty(), "cleared only once");
+    expect_that!(table.clear(BYSTANDER, now()).len(), eq(1));
+    expect_that!(table.clear(BYSTANDER, now()), is_empty(), "cleared only once");
     table.merge(&crash_update(POISON, "b", 1), now());
     table.merge(&crash_update(BYSTANDER, "b", 1), now());
     expect_that!(table.is_quarantined(POISON), eq(true));
@@ -54,7 +54,7 @@
 fn a_request_that_was_cleared_is_quarantined_after_two_further_crashes() {
     let mut table = SuspectTable::new();
     table.merge(&crash_update(POISON, "a", 1), now());
-    table.clear(POISON);
+    table.clear(POISON, now());
     table.merge(&crash_update(POISON, "b", 1), now());
     expect_that!(table.is_quarantined(POISON), eq(false));
     table.merge(&crash_update(POISON, "c", 1), now());
@@ -67,7 +67,7 @@
     let mut table = SuspectTable::new();
     let first = crash_update(BYSTANDER, "a", 1);
     table.merge(&first, now());
-    table.clear(BYSTANDER);
+    table.clear(BYSTANDER, now());
     expect_that!(table.merge(&first, now()), eq(false));
     table.merge(&crash_update(BYSTANDER, "b", 1), now());
     expect_that!(table.is_quarantined(BYSTANDER), eq(false));
