Try quarantined requests again, and let suspects expire

A request that was in flight at two upstreams which crash at the same moment is refused everywhere from then on. No upstream can answer it, so that nothing clears it, and in `mesh` suspects did not expire: `SuspectTable::tick` was never called.

Change: a quarantined request is tried again, one at a time at each guard, 10 s after the last crash and up to as long again, by a spread that each node draws. An answer releases it; a crash makes the next delay eight times as long. Suspects expire 600 s after their last crash or trial, those with more crashes later. The table evicts suspects that are not quarantined first. A call that waits for a slot while its request is quarantined is no longer sent.

Why it works: an innocent request is answered at its first trial; for one that crashes upstreams, the delays keep the rule's three retries after the third crash for twelve hours (`trials_of_a_request_that_crashes_upstreams_become_rare`).

--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -239,6 +239,10 @@
         active: bool,
         from: &'a str,
     },
+    /// A quarantined request is sent to the upstream once more.
+    QuarantineTrial {
+        fingerprint: &'a str,
+    },
     #[serde(rename = "woke")]
     Resumed {
         #[serde(rename = "stood_ms")]
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -249,7 +249,7 @@
     shared.log(&Event::Resumed { stalled_ms: suspended.as_millis() as u64 });
 }
 
-/// Updates this node's measurements, and drops members and connections that have expired.
+/// Updates this node's measurements, and drops members, suspects and connections that have expired.
 fn refresh<P: Platform>(shared: &Shared<P>, now: Instant) {
     let mut measurements = lock(&shared.traffic).measurements(shared.limiter.load(now), now);
     measurements.store_lost = shared.follow.is_store_lost();
@@ -262,6 +262,7 @@
     aggregates.record_report(&shared.settings.node, incarnation, measurements, now);
     aggregates.sweep(now);
     drop(aggregates);
+    lock(&shared.suspects).tick(now);
     shared.upstream_pool.close_expired(UPSTREAM_MAX_IDLE, now);
     shared.peer_pool.close_expired(PEER_MAX_IDLE, now);
 }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
+use quarantine::SuspectTable;
 use tokio::sync::{Notify, watch};
 use units::Clock;
 
@@ -88,7 +89,7 @@
     /// Request rates and admission shares.
     pub traffic: Mutex<Traffic>,
     /// Requests that were in flight when an upstream crashed.
-    pub suspects: Mutex<quarantine::SuspectTable>,
+    pub suspects: Mutex<SuspectTable>,
     /// Triggers an exchange with other nodes.
     pub exchange_now: Notify,
     /// Requests of callers and the upstream that have no answer yet.
@@ -150,7 +151,7 @@
             splits: Mutex::default(),
             aggregates: Mutex::default(),
             traffic: Mutex::new(Traffic::new()),
-            suspects: Mutex::default(),
+            suspects: Mutex::new(SuspectTable::with_trial_spread(rand::random_range(0.0..1.0))),
             exchange_now: Notify::new(),
             open_requests: AtomicU32::new(0),
             shutdown: Shutdown::default(),
--- a/components/mesh/src/process/suspects.rs
+++ b/components/mesh/src/process/suspects.rs
@@ -35,6 +35,18 @@
     }
 }
 
+/// Admits a call to the upstream unless it is quarantined and not to be tried again yet.
+pub fn try_admit<P: Platform>(shared: &Shared<P>, fingerprint: Fingerprint) -> bool {
+    let (admitted, trial) = {
+        let mut table = lock(&shared.suspects);
+        (table.try_admit(fingerprint, shared.now()), table.is_quarantined(fingerprint))
+    };
+    if admitted && trial {
+        shared.log(&Event::QuarantineTrial { fingerprint: &fingerprint.to_string() });
+    }
+    admitted
+}
+
 /// Merges what another node tells of a suspect.
 pub fn merge_relayed<P: Platform>(shared: &Shared<P>, update: &SuspectUpdate, from: &Arc<str>) {
     merge(shared, update, from);
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -128,7 +128,7 @@
         return Outcome::Refused(Refusal::new(RefusalReason::Stopping));
     }
     let fingerprint = fingerprint(call, head, body);
-    if lock(&shared.suspects).is_quarantined(fingerprint) {
+    if lock(&shared.suspects).is_refused(fingerprint, shared.now()) {
         return Outcome::Failed(Fault::Quarantined);
     }
     if let Err(refusal) = accepting_upstream(shared, call) {
@@ -150,6 +150,10 @@
         Ok(_) => return Outcome::Refused(Refusal::new(RefusalReason::Deadline)),
         Err(refusal) => return Outcome::Refused(refusal),
     };
+    // What was quarantined while the call waited is refused now, and of several that are due only one is tried.
+    if !suspects::try_admit(shared, fingerprint) {
+        return Outcome::Failed(Fault::Quarantined);
+    }
     let request = build_request(shared, call, head, body, &upstream, left);
     shared.metrics.upstream.requests.inc();
     slot.sent = true;
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -9,11 +9,17 @@
 
 /// Crashes, with no answer since, after which a request is quarantined.
 const QUARANTINE_CRASHES: usize = 2;
-/// Time after which a suspect is removed.
+/// Time after which a suspect is removed, if it has caused few crashes.
 const SUSPECT_TTL: Duration = Duration::from_secs(600);
+/// Time from the second crash until a quarantined request is tried again.
+const TRIAL_DELAY: Duration = Duration::from_secs(10);
+/// Factor by which that time, and the time to live, grow with each further crash.
+const TRIAL_DELAY_FACTOR: u32 = 8;
+/// Crashes beyond which they no longer grow.
+const MAX_DELAY_CRASHES: usize = 8;
 /// Time for which a change is told to nodes that may know it: exchanges spread it in a fraction of that.
 const UPDATE_AGE: Duration = Duration::from_secs(15);
-/// Maximum number of suspects; the oldest are evicted first.
+/// Maximum number of suspects; the oldest that are not quarantined are evicted first.
 const MAX_SUSPECTS: usize = 4_096;
 
 units::record! {
@@ -48,6 +54,8 @@
         pub since: Instant,
         /// When a crash was added or cleared last.
         pub changed_at: Instant,
+        /// When a crash was added, or a trial began, last.
+        tried_at: Instant,
     }
 }
 
@@ -55,6 +63,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct SuspectTable {
     entries: HashMap<Fingerprint, Suspect>,
+    /// Part of the trial delay that this node waits beyond it, so that nodes don't try a request all at once.
+    trial_spread: f64,
 }
 
 impl SuspectTable {
@@ -63,11 +73,39 @@
         Self::default()
     }
 
+    /// An empty table of a node that waits for a trial longer than others, by this part of the delay.
+    pub fn with_trial_spread(trial_spread: f64) -> Self {
+        Self { trial_spread, ..Self::default() }
+    }
+
     /// Whether a request is quarantined.
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.entries.get(&fingerprint).is_some_and(Suspect::is_quarantined)
     }
 
+    /// Whether a request is refused: it is quarantined, and not to be tried yet.
+    pub fn is_refused(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| entry.is_quarantined() && !self.is_due(entry, now))
+    }
+
+    /// Admits a request unless it is refused. A quarantined one is then on trial, and the next one is refused until the
+    /// trial delay has passed again: an answer to the trial releases it, a crash extends the delay.
+    pub fn try_admit(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        if self.is_refused(fingerprint, now) {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.tried_at = now;
+        }
+        true
+    }
+
+    fn is_due(&self, entry: &Suspect, now: Instant) -> bool {
+        let delay = entry.trial_delay().mul_f64(1.0 + self.trial_spread);
+        now.saturating_duration_since(entry.tried_at) >= delay
+    }
+
     /// Clears a request that was answered of the crashes known so far; returns the updates for other nodes.
     pub fn clear(&mut self, fingerprint: Fingerprint, now: Instant) -> Vec<SuspectUpdate> {
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return Vec::new() };
@@ -88,6 +126,7 @@
             crashes: HashMap::new(),
             since: now,
             changed_at: now,
+            tried_at: now,
         };
         let entry = self.entries.entry(update.fingerprint).or_insert_with(new_entry);
         let changed = match entry.crashes.get_mut(&update.crash) {
@@ -97,6 +136,9 @@
         if changed {
             entry.changed_at = now;
         }
+        if changed && !update.cleared {
+            entry.tried_at = now;
+        }
         self.evict_excess();
         changed
     }
@@ -122,7 +164,9 @@
 
     /// Removes suspects past their time to live.
     pub fn tick(&mut self, now: Instant) {
-        self.entries.retain(|_, entry| now.saturating_duration_since(entry.since) < SUSPECT_TTL);
+        self.entries.retain(|_, entry| {
+            now.saturating_duration_since(entry.tried_at) < entry.time_to_live()
+        });
     }
 
     /// Quarantined requests.
@@ -150,7 +194,7 @@
         let oldest = self
             .entries
             .iter()
-            .min_by_key(|(_, entry)| entry.since)
+            .min_by_key(|(_, entry)| (entry.is_quarantined(), entry.since))
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(oldest) = oldest {
             self.entries.remove(&oldest);
@@ -169,8 +213,21 @@
         self.crashes.iter().map(update).collect()
     }
 
+    fn uncleared(&self) -> usize {
+        self.crashes.values().filter(|cleared| !**cleared).count()
+    }
+
     fn is_quarantined(&self) -> bool {
-        let uncleared = self.crashes.values().filter(|cleared| !**cleared);
-        uncleared.count() >= QUARANTINE_CRASHES
+        self.uncleared() >= QUARANTINE_CRASHES
+    }
+
+    /// Time from the last crash, or trial, until the next trial.
+    fn trial_delay(&self) -> Duration {
+        let further = self.uncleared().min(MAX_DELAY_CRASHES).saturating_sub(QUARANTINE_CRASHES);
+        TRIAL_DELAY * TRIAL_DELAY_FACTOR.pow(further as u32)
+    }
+
+    fn time_to_live(&self) -> Duration {
+        SUSPECT_TTL.max(self.trial_delay() * TRIAL_DELAY_FACTOR)
     }
 }
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -84,6 +84,57 @@
     expect_that!(table.is_quarantined(POISON), eq(false));
 }
 
+/// Guards against a request that was in flight at two crashes at the same time and is refused for good, as nothing can
+/// answer it any more.
+#[gtest]
+fn a_quarantined_request_is_tried_again_one_at_a_time() {
+    let clock = ManualClock::new();
+    let mut table = SuspectTable::new();
+    table.merge(&crash_update(BYSTANDER, "a", 1), clock.now());
+    table.merge(&crash_update(BYSTANDER, "b", 1), clock.now());
+    clock.advance(Duration::from_millis(9_900));
+    expect_that!(table.try_admit(BYSTANDER, clock.now()), eq(false));
+    clock.advance(Duration::from_millis(100));
+    expect_that!(table.is_refused(BYSTANDER, clock.now()), eq(false));
+    expect_that!(table.try_admit(BYSTANDER, clock.now()), eq(true));
+    expect_that!(table.try_admit(BYSTANDER, clock.now()), eq(false), "one at a time");
+    table.clear(BYSTANDER, clock.now());
+    expect_that!(table.try_admit(BYSTANDER, clock.now()), eq(true));
+    expect_that!(table.try_admit(BYSTANDER, clock.now()), eq(true));
+}
+
+/// Guards against trials that cost an upstream each time: a day sees three of them after the third crash at the most.
+#[gtest]
+fn trials_of_a_request_that_crashes_upstreams_become_rare() {
+    let clock = ManualClock::new();
+    let mut table = SuspectTable::new();
+    table.merge(&crash_update(POISON, "a", 1), clock.now());
+    table.merge(&crash_update(POISON, "a", 2), clock.now());
+    let mut crashes = 2;
+    for _ in 0..12 * 3_600 {
+        clock.advance(Duration::from_secs(1));
+        table.tick(clock.now());
+        if table.try_admit(POISON, clock.now()) {
+            crashes += 1;
+            table.merge(&crash_update(POISON, "a", crashes), clock.now());
+        }
+    }
+    expect_that!(crashes, le(6));
+}
+
+/// Guards against a flood of suspects that makes nodes forget which requests crash upstreams.
+#[gtest]
+fn a_quarantined_request_is_not_evicted_by_other_suspects() {
+    let mut table = SuspectTable::new();
+    table.merge(&crash_update(POISON, "a", 1), now());
+    table.merge(&crash_update(POISON, "b", 1), now());
+    for number in 10..5_000 {
+        table.merge(&crash_update(Fingerprint(number), "a", 1), now());
+    }
+    expect_that!(table.is_quarantined(POISON), eq(true));
+    expect_that!(table.len(), eq(4_096));
+}
+
 #[gtest]
 fn a_fingerprint_depends_on_the_key_or_on_the_exact_request() {
     expect_that!(Fingerprint::of_key(b"k"), eq(Fingerprint::of_key(b"k")));
