--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -37,6 +37,8 @@
 pub const MAX_STORED_INCARNATION: u64 = 1 << 52;
 /// Highest incarnation that other nodes may tell of: room for nodes that had to rise above a stored one.
 pub const MAX_INCARNATION: u64 = 1 << 53;
+/// Departures in a record, of the latest upstreams.
+pub const MAX_DEPARTURES: usize = 8;
 /// Most requests of an upstream, and longest average time that one holds a slot, that a report can tell of.
 const MAX_REQUESTS: u32 = 1_000_000;
 const MAX_HELD_US: u32 = 600_000_000;
@@ -79,6 +81,45 @@
     /// The upstream as it was when the process was stopped, for the next incarnation.
     #[serde(rename = "parting", default, skip_serializing_if = "Option::is_none")]
     pub saved_upstream: Option<SavedUpstream>,
+    /// Incarnations of the upstream that announced that they are leaving, for later incarnations of the node.
+    #[serde(rename = "departed", default, skip_serializing_if = "Vec::is_empty")]
+    pub departures: Vec<Departure>,
+}
+
+/// An announced departure of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Id of the upstream.
+    pub id: String,
+    /// Milliseconds since the epoch at its start; an incarnation of that id that started later is another one.
+    #[serde(rename = "born")]
+    pub started_ms: u64,
+    /// Milliseconds since the epoch when it announced that it is leaving, by the clock of its node.
+    #[serde(rename = "at")]
+    pub since_ms: u64,
+}
+
+impl Departure {
+    /// Whether this tells that the other's upstream is leaving, too.
+    pub fn covers(&self, other: &Self) -> bool {
+        self.id == other.id && self.started_ms >= other.started_ms
+    }
+}
+
+/// Adds departures to others, of which the latest are kept. Returns whether any was added.
+pub fn add_departures(known: &mut Vec<Departure>, told: &[Departure]) -> bool {
+    let mut merged = known.clone();
+    for departure in told {
+        if !merged.iter().any(|other| other.covers(departure)) {
+            merged.push(departure.clone());
+        }
+    }
+    merged.sort_by_key(|departure| departure.since_ms);
+    let excess = merged.len().saturating_sub(MAX_DEPARTURES);
+    merged.drain(..excess);
+    let added = merged.iter().any(|departure| !known.contains(departure));
+    *known = merged;
+    added
 }
 
 /// An upstream that keeps running while its node is restarted.
@@ -354,7 +395,11 @@
         if let Some(measurements) = new_measurements {
             known.measurements = measurements;
         }
-        let Some(record) = new_record else { return Merged::Measurements };
+        let Some(mut record) = new_record else { return Merged::Measurements };
+        // A node that was killed has forgotten them; its next incarnation is told.
+        if add_departures(&mut record.departures, &known.record.departures) {
+            entry.source = None;
+        }
         let service_changed = known.record.service != record.service;
         known.record = record;
         entry.record_revision = revision;
@@ -444,6 +489,10 @@
             hasher.update(record.node.as_bytes());
             hasher.update(&record.incarnation.to_be_bytes());
             hasher.update(&record.serial.to_be_bytes());
+            for Departure { id, started_ms, .. } in &record.departures {
+                hasher.update(id.as_bytes());
+                hasher.update(&started_ms.to_be_bytes());
+            }
             digests[bucket(&record.node)] ^= hasher.digest();
         }
         digests
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -183,6 +183,16 @@
     },
 }
 
+impl Announcement {
+    /// Whether an upstream says that it is leaving.
+    pub fn is_departure(&self) -> bool {
+        match self {
+            Self::Heartbeat(heartbeat) => heartbeat.state == AnnouncedState::Draining,
+            Self::Leave { .. } => true,
+        }
+    }
+}
+
 /// A document of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Document {
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -4,6 +4,7 @@
 pub mod announced;
 pub mod backoff;
 pub mod control;
+pub mod departures;
 pub mod epoch;
 pub mod events;
 pub mod exchange;
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -125,6 +125,13 @@
         sequence: u64,
         from: &'a str,
     },
+    /// Departures were kept for later incarnations of the node.
+    DeparturesKept {
+        /// The `store` or another `node`; empty if they could not be kept.
+        place: &'a str,
+        departures: usize,
+        after_ms: u64,
+    },
     RateLimitChanged {
         upstream: &'a str,
         /// Requests per second; none without a limit.
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -176,12 +176,14 @@
         let before = self.cursors.get(&target.node).cloned().unwrap_or_default();
         let sent = self.sent.remove(&target.node);
         let offered = sent.is_some_and(|sent| sent.configuration);
+        let told = sent.map_or(0, |sent| sent.table_revision);
+        shared.kept.record_told(told);
         let restarted = before.sent > 0 && before.incarnation != answer.incarnation;
         let (version, digests) = (answer.version, answer.digests.clone());
         let mut cursor = Cursor {
             incarnation: answer.incarnation,
             seen: answer.table_revision,
-            sent: sent.map_or(0, |sent| sent.table_revision),
+            sent: told,
             version,
             revision: answer.revision,
             known: answer.known.clone(),
--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -14,7 +14,7 @@
 use crate::decide::revision::Revision;
 use crate::platform::{Platform, StoreEpoch};
 use crate::process::shared::{Shared, lock};
-use crate::process::{epoch, suspects};
+use crate::process::{departures, epoch, suspects};
 
 /// Time for which a version was in force here before it is sent to another failure domain of the region, or to another
 /// region: they should have read it from the store by then.
@@ -158,6 +158,7 @@
         let incarnation = table.own().map_or(0, |own| own.record.incarnation);
         if seen.0 == incarnation {
             cursor.sent = seen.1;
+            shared.kept.record_told(seen.1);
         }
         cursor.buckets = digests.as_ref().map(|digests| table.unequal_buckets(digests));
     }
@@ -266,7 +267,7 @@
 
 /// Applies what another node has sent.
 pub fn apply<P: Platform>(shared: &Shared<P>, message: Message) {
-    let now = shared.now();
+    let (own, now) = (&shared.settings, shared.now());
     let source = message.from;
     shared.exchanged.store(true, Ordering::Relaxed);
     if let Some(revision) = &message.revision {
@@ -277,6 +278,9 @@
     }
     for update in message.members {
         let node = update.node.clone();
+        if let Some(record) = update.record.as_ref().filter(|record| record.node == own.node) {
+            departures::recall(shared, &record.departures, &source);
+        }
         let load = update.measurements.as_ref().map(Measurements::load);
         let result = lock(&shared.members).merge(update, Some(&source), now);
         if let Some(load) = load {
--- a/components/mesh/src/process/exchange/targets.rs
+++ b/components/mesh/src/process/exchange/targets.rs
@@ -14,6 +14,8 @@
 const REGION_ROUNDS: u64 = 2;
 /// Rounds between exchanges with a node of a failure domain or region that has been lost.
 const LOST_ROUNDS: u64 = 4;
+/// Nodes that are told of a departure that the store can't keep.
+const URGENT_TARGETS: usize = 2;
 /// Rounds between exchanges with a random node, which reconnect a membership that was partitioned.
 const RANDOM_ROUNDS: u64 = 10;
 
@@ -156,6 +158,11 @@
         targets.push(reader);
     }
     targets.extend(missing(shared, view));
+    if shared.kept.is_urgent() {
+        let near = neighbours(shared, now);
+        let near = if near.is_empty() { view.others.clone() } else { near };
+        targets.extend(near.into_iter().take(URGENT_TARGETS));
+    }
     if duties.region && round.is_multiple_of(LOST_ROUNDS) {
         targets.extend(view.lost().cloned());
     }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -10,6 +10,7 @@
 use units::Clock;
 
 use super::active::{ActiveConfiguration, Taken};
+use super::departures::Kept;
 use super::events::{Event, Sink};
 use super::follow::FollowState;
 use super::limiter::Limiter;
@@ -109,6 +110,8 @@
     pub store_epoch: watch::Sender<Option<StoreEpoch>>,
     /// Triggers a write of this node's record to the store.
     pub record_outdated: Notify,
+    /// What of this node's record outlives its process.
+    pub kept: Kept,
     /// How far the configuration is read from the store.
     pub follow: FollowState,
     /// The configuration in force.
@@ -131,6 +134,7 @@
             state: UpstreamState::Unknown,
             slots: 0,
             saved_upstream: None,
+            departures: Vec::new(),
         };
         Ok(Self {
             metrics: Metrics::new()?,
@@ -161,6 +165,7 @@
             exchanged: AtomicBool::new(false),
             store_epoch: watch::Sender::new(None),
             record_outdated: Notify::new(),
+            kept: Kept::default(),
             follow: FollowState::default(),
             active: ActiveConfiguration::default(),
             platform,
@@ -316,15 +321,17 @@
 
     /// Updates this node's record with the state of the upstream.
     pub fn publish_upstream(&self) {
-        let (state, slots) = {
+        let (state, slots, departures) = {
             let upstream = lock(&self.upstream);
-            (upstream.state(), upstream.last_heartbeat().map_or(0, |heartbeat| heartbeat.slots))
+            let slots = upstream.last_heartbeat().map_or(0, |heartbeat| heartbeat.slots);
+            (upstream.state(), slots, upstream.departures())
         };
         let leaving = self.leaving.load(Ordering::Relaxed);
         let state = if leaving { UpstreamState::Leaving } else { state };
         let changed = lock(&self.members).update_own(|own| {
             own.state = state;
             own.slots = slots;
+            own.departures = departures;
         });
         if changed {
             self.exchange_now.notify_one();
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -9,10 +9,12 @@
 use super::backoff::Backoff;
 use super::events::Event;
 use super::shared::{Shared, lock};
-use super::{announced, control, epoch};
+use super::{announced, control, departures, epoch};
 use crate::decide::members::{MAX_STORED_INCARNATION, MemberUpdate, Merged, Record, SavedUpstream};
 use crate::decide::notice::Notice;
-use crate::platform::{AnnouncedState, Answer, Heartbeat, KeyedRecords, Platform, StoreEpoch};
+use crate::platform::{
+    AnnouncedState, Answer, Heartbeat, KeyedRecords, Platform, StoreEpoch, StoreError,
+};
 
 /// Delays before the records are read again at startup, where they are needed.
 const REREAD_DELAYS: [Duration; 2] = [Duration::from_millis(600), Duration::from_millis(2_500)];
@@ -37,6 +39,7 @@
             Ok(records) => {
                 backoff.succeeded(&shared, "records");
                 let (records, skipped) = decode_records(&shared, &records);
+                restore_departures(&shared, &records);
                 restore_upstream(&shared, &records, epoch.valid());
                 merge_records(&shared, records, skipped, epoch.valid());
                 break;
@@ -138,18 +141,10 @@
     backoff: &mut Backoff,
 ) -> Option<StoreEpoch> {
     loop {
-        let own = lock(&shared.members).own().map(|own| own.record.clone())?;
-        let bytes = serde_json::to_vec(&own).ok()?;
         let asked = shared.now();
-        let Answer { epoch, result } =
-            shared.platform.put_record(&shared.settings.node, bytes).await;
-        epoch::observe_answer(shared, &epoch);
-        let epoch = epoch.valid();
-        match result {
-            Ok(()) => {
+        match save_record(shared).await {
+            Ok(epoch) => {
                 backoff.succeeded(shared, "keep");
-                let Record { serial, .. } = own;
-                shared.log(&Event::RecordWritten { serial, epoch: epoch.map(|epoch| epoch.0) });
                 return epoch;
             }
             Err(err) => backoff.failed(shared, "keep", asked, &err).await,
@@ -157,6 +152,32 @@
     }
 }
 
+/// Writes this node's record to the store once, and returns the epoch in which it was written.
+pub async fn save_record<P: Platform>(
+    shared: &Shared<P>,
+) -> Result<Option<StoreEpoch>, StoreError> {
+    let _writing = shared.kept.writing.lock().await;
+    let own = lock(&shared.members).own().map(|own| own.record.clone());
+    let own = own.ok_or_else(|| StoreError::Unreadable("this node has no record".to_owned()))?;
+    let bytes = serde_json::to_vec(&own).map_err(|err| StoreError::Unreadable(err.to_string()))?;
+    let Answer { epoch, result } = shared.platform.put_record(&shared.settings.node, bytes).await;
+    epoch::observe_answer(shared, &epoch);
+    result?;
+    shared.kept.record_departures(&own.departures);
+    let epoch = epoch.valid();
+    let Record { serial, .. } = own;
+    shared.log(&Event::RecordWritten { serial, epoch: epoch.map(|epoch| epoch.0) });
+    Ok(epoch)
+}
+
+/// Restores the departures that earlier incarnations of this node were told of.
+fn restore_departures<P: Platform>(shared: &Shared<P>, records: &[Record]) {
+    let own = records.iter().find(|record| record.node == shared.settings.node);
+    if let Some(own) = own {
+        departures::recall(shared, &own.departures, "store");
+    }
+}
+
 /// Restores the upstream state that the previous incarnation of this node saved when it was stopped.
 fn restore_upstream<P: Platform>(
     shared: &Shared<P>,
--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -5,13 +5,11 @@
 
 use units::Rate;
 
-use crate::decide::members::{SavedUpstream, UpstreamState};
+use crate::decide::members::{self, MAX_DEPARTURES, SavedUpstream, UpstreamState};
 use crate::platform::{AnnouncedState, Announcement, Heartbeat, StoreEpoch};
 
 /// Missed heartbeats after which a different incarnation is accepted even if it started earlier.
 const MISSED_HEARTBEATS: u32 = 3;
-/// Departures of other incarnations that are remembered.
-const MAX_DEPARTURES: usize = 8;
 /// Part of the drain time kept back for requests already on their way to the upstream.
 const DRAIN_RESERVE: Duration = Duration::from_millis(700);
 
@@ -110,6 +108,38 @@
         unknown
     }
 
+    /// The departures that later incarnations of the node have to know.
+    pub fn departures(&self) -> Vec<members::Departure> {
+        let saved = |id: &str, started_ms: u64, since: Moment| members::Departure {
+            id: id.to_owned(),
+            started_ms,
+            since_ms: since.wall_ms,
+        };
+        let mut departures = Vec::new();
+        for Departure { id, started_ms, since } in &self.departures {
+            departures.push(saved(id, *started_ms, *since));
+        }
+        let current = self.heartbeat.as_ref().zip(self.leaving_since);
+        let current = current.map(|(known, since)| saved(&known.id, known.started_ms, since));
+        members::add_departures(&mut departures, current.as_slice());
+        departures
+    }
+
+    /// Restores departures that an earlier incarnation of the node was told of; true if the current upstream is one that
+    /// was not known to leave, or not for so long.
+    pub fn recall(&mut self, departures: &[members::Departure], now: Moment) -> bool {
+        let mut changed = false;
+        for members::Departure { id, started_ms, since_ms } in departures {
+            let age = Duration::from_millis(now.wall_ms.saturating_sub(*since_ms));
+            self.record_departure(id.clone(), *started_ms, now.earlier(age));
+            let current = self.heartbeat.as_ref();
+            if current.is_some_and(|known| known.id == *id && known.started_ms <= *started_ms) {
+                changed |= self.leave_since(age, now);
+            }
+        }
+        changed
+    }
+
     /// Records that the upstream announced some time ago that it is leaving; false if that was known.
     pub fn leave_since(&mut self, age: Duration, now: Moment) -> bool {
         if self.leaving_since.is_some_and(|since| now.since(since) >= age) {
--- a/components/mesh/tests/members.rs
+++ b/components/mesh/tests/members.rs
@@ -8,7 +8,8 @@
 use googletest::prelude::*;
 use mesh::decide::demand::Demand;
 use mesh::decide::members::{
-    Measurements, MemberUpdate, Merged, Record, Scope, Table, UpstreamState,
+    Departure, MAX_DEPARTURES, Measurements, MemberUpdate, Merged, Record, Scope, Table,
+    UpstreamState, add_departures, bucket,
 };
 
 fn record(node: &str, incarnation: u64, serial: u64) -> Record {
@@ -23,6 +24,7 @@
         state: UpstreamState::Ready,
         slots: 4,
         saved_upstream: None,
+        departures: Vec::new(),
     }
 }
 
@@ -85,6 +87,41 @@
     expect_that!(table.merge(measurements("b", 6, 1), None, now), eq(Merged::Measurements));
 }
 
+fn departure(id: &str, started_ms: u64, since_ms: u64) -> Departure {
+    Departure { id: id.to_owned(), started_ms, since_ms }
+}
+
+/// Guards against a departure that is lost when a killed node, which has forgotten it, publishes a new record.
+#[gtest]
+fn departures_survive_a_later_incarnation_that_does_not_know_them() {
+    let now = Instant::now();
+    let sender: Arc<str> = "b".into();
+    let mut table = Table::new(record("own", 1, 1), now);
+    let known = Record { departures: vec![departure("i", 10, 100)], ..record("b", 5, 3) };
+    table.merge(update(known.clone()), Some(&sender), now);
+    let told = |table: &Table| table.changes_since(0, "b", true).0;
+    expect_that!(told(&table).iter().any(|update| *update.node == *sender), eq(false));
+    table.merge(update(record("b", 6, 1)), Some(&sender), now);
+    expect_that!(table.get("b").unwrap().record.departures, eq(&known.departures));
+    expect_that!(told(&table).iter().any(|update| *update.node == *sender), eq(true));
+    let own = Table::new(record("b", 6, 1), now);
+    expect_that!(own.unequal_buckets(&table.digests()), contains(eq(&bucket("b"))));
+}
+
+/// Guards against a record that grows with each upstream that was ever replaced.
+#[gtest]
+fn the_latest_departures_are_kept() {
+    let mut known = Vec::new();
+    for number in 1..=20 {
+        let id = format!("i-{number}");
+        expect_that!(add_departures(&mut known, &[departure(&id, 10, number)]), eq(true));
+        expect_that!(add_departures(&mut known, &[departure(&id, 9, number)]), eq(false));
+    }
+    expect_that!(known.len(), eq(MAX_DEPARTURES));
+    expect_that!(known.iter().map(|departure| departure.since_ms).min(), some(eq(13)));
+    expect_that!(add_departures(&mut known, &[departure("i-1", 10, 1)]), eq(false));
+}
+
 #[gtest]
 fn a_later_incarnation_of_the_own_node_is_reported() {
     let now = Instant::now();
--- a/components/mesh/tests/upstream.rs
+++ b/components/mesh/tests/upstream.rs
@@ -137,6 +137,35 @@
     }
 }
 
+/// Guards against a restarted node that forgets what its predecessor knew, or counts the drain time anew.
+#[gtest]
+fn departures_are_recalled_before_and_after_a_late_heartbeat() {
+    let now = Instant::now();
+    let mut first = Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now);
+    first.apply(heartbeat("i", 10, 1, AnnouncedState::Ready), at(now));
+    first.apply(leave("i", Some(10)), at(now));
+    first.apply(leave("other", Some(5)), at(now));
+    let departures = first.departures();
+    expect_that!(departures.len(), eq(2));
+    let later = Moment { monotonic: now + Duration::from_secs(1), wall_ms: 1_001_000 };
+    for heartbeat_first in [false, true] {
+        let mut second = Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now);
+        let late = heartbeat("i", 10, 1, AnnouncedState::Ready);
+        if heartbeat_first {
+            second.apply(late.clone(), later);
+        }
+        expect_that!(second.recall(&departures, later), eq(heartbeat_first));
+        expect_that!(second.recall(&departures, later), eq(false), "known by now");
+        second.apply(late, later);
+        expect_that!(second.state(), eq(UpstreamState::Leaving));
+        expect_that!(second.leaving_for(later), some(eq(Duration::from_secs(1))));
+        expect_that!(second.accepting(later), none());
+        second.apply(heartbeat("i", 11, 1, AnnouncedState::Ready), later);
+        expect_that!(second.state(), eq(UpstreamState::Ready), "another incarnation");
+        expect_that!(second.departures().len(), eq(2), "the first ones are kept");
+    }
+}
+
 /// Guards against an earlier incarnation that was leaving and is used again once its successor is silent.
 #[gtest]
 fn an_incarnation_that_has_left_is_not_used_after_its_successor_is_silent() {
