End connections that send interim responses without end

Callers saw: nothing reported here; the users passed on a report of a backend that sent bytes without end.

Cause: the client skips interim responses, and nothing counted them.

Change: a connection ends with the 17th interim response to a request, which then fails as one that may have run.

--- a/components/mesh/src/connection/pool.rs
+++ b/components/mesh/src/connection/pool.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -15,10 +16,13 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
+use tokio::sync::Notify;
 
 use super::socket;
 
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
+/// Most interim responses (1xx) to one request; a server that sends them without end would keep the node's core busy.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 
 quick_error! {
     /// Why a request got no response.
@@ -105,6 +109,7 @@
         max_idle: Duration,
         now: Instant,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
+        let excess = limit_interim_responses(&mut request);
         loop {
             let (mut sender, reused) = match self.take_idle(to, max_idle, now) {
                 Some(sender) => (sender, true),
@@ -116,7 +121,14 @@
                 }
                 return Err(SendError::NotSent(err.to_string()));
             }
-            match sender.try_send_request(request).await {
+            let sent = tokio::select! {
+                sent = sender.try_send_request(request) => sent,
+                () = excess.notified() => {
+                    let reason = format!("more than {MAX_INTERIM_RESPONSES} interim responses");
+                    return Err(SendError::ConnectionLost(reason));
+                }
+            };
+            match sent {
                 Ok(response) => {
                     let pool = self.clone();
                     return Ok((response, PooledConnection { pool, address: to, sender, reused }));
@@ -171,6 +183,18 @@
     }
 }
 
+/// Counts the interim responses to a request; notifies when there are too many.
+fn limit_interim_responses(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let excess = Arc::new(Notify::new());
+    let (notify, count) = (excess.clone(), AtomicU32::new(0));
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            notify.notify_one();
+        }
+    });
+    excess
+}
+
 fn error_text(err: &hyper::Error) -> String {
     let source = std::error::Error::source(err);
     source.map_or(err.to_string(), |source| format!("{err}: {source}"))
