--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -8,11 +8,12 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use emulator::direct;
 use emulator::scripted::{Behavior, Endless, FakeUpstream};
 use emulator::site::{self, Config, Machine};
 use emulator::store::FakeStore;
 use googletest::prelude::*;
-use standins::client::{self, Http};
+use standins::client;
 use standins::cluster::Process;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -50,7 +51,7 @@
             machine.relay_ip = machine.ip;
         }
         store.configure(&Config { version: 3, extra_routes: Vec::new() }.to_json());
-        let upstream = FakeUpstream::start(machines[1].upstream(), "i-guard").await;
+        let upstream = FakeUpstream::start(machines[1].upstream(), direct::UPSTREAM_ID).await;
         let dir = tempfile::tempdir().unwrap();
         let program = Path::new(env!("CARGO_BIN_EXE_almondknot"));
         let start = |machine: &Machine| {
@@ -71,7 +72,7 @@
         let mut sequence = 0;
         loop {
             sequence += 1;
-            heartbeat(&http, &self.machines[1], sequence).await;
+            direct::heartbeat(&http, &self.machines[1], SLOTS, sequence).await;
             if self.is_served("ready").await {
                 return;
             }
@@ -91,10 +92,7 @@
     /// Sends a request to the entry.
     async fn send(&self, id: &str) -> std::io::Result<TcpStream> {
         let mut stream = TcpStream::connect(self.machines[0].outbound()).await?;
-        let text = format!(
-            "POST /delivery-confirm/1 HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n",
-            site::HOST
-        );
+        let text = direct::request(id, "/delivery-confirm/1");
         stream.write_all(text.as_bytes()).await?;
         Ok(stream)
     }
@@ -134,18 +132,6 @@
     }
 }
 
-async fn heartbeat(http: &Http, machine: &Machine, sequence: u64) {
-    let body = format!(
-        r#"{{"service":"{}","address":"{}","zone":"z","version":"v1","slots":{SLOTS},"state":"ready","coldRemaining":"0ms","sequence":{sequence},"born":2}}"#,
-        machine.service,
-        machine.upstream()
-    );
-    let uri = format!("http://{}/-/instances/i-guard/heartbeat", machine.control());
-    let request = http::Request::post(uri).body(http_body_util::Full::from(body)).unwrap();
-    // The node may not listen yet; the heartbeat is repeated.
-    let _ = client::send(http, request).await;
-}
-
 fn resident(pid: u32) -> u64 {
     let text = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
     let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
