Let suspects expire that are not quarantined, and simplify names

Found on reading the diff: a request that is only a suspect renewed its own time to live whenever it was admitted.

--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -22,8 +22,8 @@
 /// Answers a readiness check.
 pub async fn ready<P: Platform>(shared: Arc<Shared<P>>) -> Response<Full<Bytes>> {
     match shared.readiness() {
-        Ok(()) => response_of(StatusCode::OK, "ready"),
-        Err(reason) => response_of(StatusCode::SERVICE_UNAVAILABLE, reason),
+        Ok(()) => response(StatusCode::OK, "ready"),
+        Err(reason) => response(StatusCode::SERVICE_UNAVAILABLE, reason),
     }
 }
 
@@ -35,26 +35,26 @@
     let (parts, incoming) = request.into_parts();
     let read = Limited::new(incoming, MAX_ANNOUNCEMENT_BYTES).collect();
     let Ok(Ok(body)) = tokio::time::timeout(ANNOUNCEMENT_TIMEOUT, read).await else {
-        return response_of(StatusCode::BAD_REQUEST, "the body can't be read");
+        return response(StatusCode::BAD_REQUEST, "the body can't be read");
     };
     let body = body.to_bytes();
     if shared.leaving.load(Ordering::Relaxed) {
         // An announcement acknowledged now would be lost; the upstream repeats it to the restarted node.
-        return response_of(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+        return response(StatusCode::SERVICE_UNAVAILABLE, "stopping");
     }
     match shared.platform.decode_announcement(&parts.method, parts.uri.path(), &body) {
         Ok(announcement) => {
             let departs = announcement.is_departure();
-            let response = apply(&shared, announcement);
+            let answer = apply(&shared, announcement);
             // The acknowledgement binds this machine also after its process was killed.
-            if departs && response.status().is_success() && !departures::keep(&shared).await {
-                return response_of(StatusCode::SERVICE_UNAVAILABLE, "the departure can't be kept");
+            if departs && answer.status().is_success() && !departures::keep(&shared).await {
+                return response(StatusCode::SERVICE_UNAVAILABLE, "the departure can't be kept");
             }
-            response
+            answer
         }
         Err(reason) => {
             shared.log(&Event::AnnouncementRefused { reason: &reason });
-            response_of(StatusCode::BAD_REQUEST, "the announcement can't be read")
+            response(StatusCode::BAD_REQUEST, "the announcement can't be read")
         }
     }
 }
@@ -65,10 +65,10 @@
     {
         let reason = format!("service `{}` is not the service of this machine", heartbeat.service);
         shared.log(&Event::AnnouncementRefused { reason: &reason });
-        return response_of(StatusCode::BAD_REQUEST, "another service");
+        return response(StatusCode::BAD_REQUEST, "another service");
     }
     announce(shared, announcement, "upstream");
-    response_of(StatusCode::OK, "{}")
+    response(StatusCode::OK, "{}")
 }
 
 /// Applies an announcement that came directly from the upstream or with one of its answers.
@@ -123,11 +123,11 @@
     shared.metrics.upstream.waiting.set(i64::from(load.waiting));
     match shared.metrics.text() {
         Ok(text) => Response::new(Full::new(text.into())),
-        Err(_) => response_of(StatusCode::INTERNAL_SERVER_ERROR, "metrics can't be written"),
+        Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, "metrics can't be written"),
     }
 }
 
-fn response_of(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+fn response(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -301,7 +301,7 @@
         apply_region(shared, &region, summary, &source, now);
     }
     for suspect in message.suspects {
-        suspects::merge_relayed(shared, &suspect.into(), &source);
+        suspects::merge(shared, &suspect.into(), &source);
     }
     if let Some(configuration) = message.configuration {
         let origin = message.revision.map(|revision| revision.origin).unwrap_or_default();
--- a/components/mesh/src/process/suspects.rs
+++ b/components/mesh/src/process/suspects.rs
@@ -1,7 +1,5 @@
 //! Requests suspected of crashing upstreams: what this node's upstream shows, and what other nodes tell.
 
-use std::sync::Arc;
-
 use quarantine::{Crash, Fingerprint, SuspectUpdate};
 use units::NodeId;
 
@@ -47,12 +45,8 @@
     admitted
 }
 
-/// Merges what another node tells of a suspect.
-pub fn merge_relayed<P: Platform>(shared: &Shared<P>, update: &SuspectUpdate, from: &Arc<str>) {
-    merge(shared, update, from);
-}
-
-fn merge<P: Platform>(shared: &Shared<P>, update: &SuspectUpdate, from: &str) {
+/// Merges an update; `from` is another node, or what this node has seen.
+pub fn merge<P: Platform>(shared: &Shared<P>, update: &SuspectUpdate, from: &str) {
     let fingerprint = update.fingerprint;
     let (merged, before, after) = {
         let mut table = lock(&shared.suspects);
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -95,7 +95,8 @@
         if self.is_refused(fingerprint, now) {
             return false;
         }
-        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+        let entry = self.entries.get_mut(&fingerprint);
+        if let Some(entry) = entry.filter(|entry| entry.is_quarantined()) {
             entry.tried_at = now;
         }
         true
