Find the tenant of a request by its key, and read the route type for large responses

The two new deployments can't be served: a configuration with rules of type `download` is refused whole, and keys of tenants are passed on to upstreams. The entry's stages move to modules of their own (intake, routed, identity, answer), and the settings of the new parts are decoded, so that the parts can be built side by side.

--- a/components/mesh/src/configuration.rs
+++ b/components/mesh/src/configuration.rs
@@ -1,5 +1,7 @@
 //! One version of the configuration.
 
+pub mod tenants;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
@@ -10,6 +12,8 @@
 use units::ParseError;
 use xxhash_rust::xxh3;
 
+pub use tenants::{Quota, Tenant, Tenants};
+
 /// A service that receives a share of a route's requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WeightedService {
@@ -30,6 +34,10 @@
     pub services: Vec<WeightedService>,
     /// Whether a request may safely run twice.
     pub idempotent: bool,
+    /// Whether its answers are large.
+    pub large: bool,
+    /// Whether its requests need no key of a tenant.
+    pub public: bool,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Target latency; later answers are worth less to the caller.
@@ -47,6 +55,8 @@
     pub head_bytes: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Longest time in which a request head has to arrive, from its first byte on.
+    pub head_timeout: Duration,
     /// Longest time that a connection may be idle.
     pub idle_timeout: Duration,
 }
@@ -89,6 +99,7 @@
     /// Limits on callers.
     pub limits: Limits,
     routes: HashMap<String, Vec<Arc<Route>>>,
+    tenants: Option<Tenants>,
     /// The document as the operator wrote it, for nodes that can't reach the store.
     pub source: Bytes,
     /// Digest of `source`.
@@ -111,7 +122,17 @@
             group.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let digest = Digest::of(&source);
-        Self { version, limits, routes: hosts, source, digest }
+        Self { version, limits, routes: hosts, tenants: None, source, digest }
+    }
+
+    /// The same with tenants, whose keys requests then need.
+    pub fn with_tenants(self, tenants: Option<Tenants>) -> Self {
+        Self { tenants, ..self }
+    }
+
+    /// The tenants; `None` if requests need no key.
+    pub fn tenants(&self) -> Option<&Tenants> {
+        self.tenants.as_ref()
     }
 
     /// The route with the longest matching prefix.
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -128,6 +128,12 @@
     pub not_run: HeaderName,
     /// Requests per second that an upstream accepts, in answers while it limits them.
     pub rate_limit: HeaderName,
+    /// Key of the tenant that sends the request.
+    pub key: HeaderName,
+    /// Name of the tenant, for upstreams.
+    pub tenant: HeaderName,
+    /// Load that an upstream reports in its answers.
+    pub load: HeaderName,
     /// Set by an upstream that is leaving.
     pub leaving: HeaderFlag,
 }
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -117,6 +117,14 @@
         serial: u64,
         epoch: Option<u64>,
     },
+    /// A request that needs the key of a tenant has none that is known.
+    Unauthorized {
+        id: &'a str,
+        route: &'a str,
+        #[serde(rename = "key")]
+        has_key: bool,
+        version: u64,
+    },
     UpstreamChanged {
         id: &'a str,
         #[serde(rename = "standing")]
--- a/components/mesh/src/process/settings.rs
+++ b/components/mesh/src/process/settings.rs
@@ -44,4 +44,49 @@
     pub stop_timeout: Duration,
     /// Processor cores that the node may use.
     pub cores: usize,
+    /// Memory that the process may take, in bytes; none if it is not limited.
+    pub memory_bytes: Option<u64>,
+    /// File descriptors that the process may open; none if they are not limited.
+    pub descriptors: Option<u32>,
+    /// Tolerance with which quotas of tenants are kept.
+    pub quota: QuotaBounds,
+    /// Retries that the deployment allows; none if it says nothing.
+    pub retries: Option<RetryBounds>,
+    /// What becomes of keys while the configuration is not confirmed.
+    pub revocation: Revocation,
+}
+
+/// Tolerance with which the quota of a tenant is kept, over all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the sliding window in which requests are counted.
+    pub window: Duration,
+    /// Share of the quota that may be exceeded.
+    pub overage: f64,
+    /// Requests by which it may be exceeded besides.
+    pub slack: f64,
+}
+
+impl Default for QuotaBounds {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(1), overage: 0.0, slack: 0.0 }
+    }
+}
+
+/// Retries that a service may get in any window, over all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBounds {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window: Duration,
+    /// Retries besides.
+    pub slack: f64,
+}
+
+/// What becomes of keys while the configuration is not confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Revocation {
+    /// Longest time for which keys are accepted without a confirmation; none if for any time.
+    pub after: Option<Duration>,
 }
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -9,8 +9,8 @@
 
 use super::body::Payload;
 use super::call::{Call, RequestHead};
-use super::entry::RoutedRequest;
 use super::outcome::{Fault, Outcome, Refusal, RefusalReason};
+use super::routed::RoutedRequest;
 use super::{guard, peer};
 use crate::decide::budget::Budget;
 use crate::platform::Platform;
--- a/components/mesh/src/request/outcome.rs
+++ b/components/mesh/src/request/outcome.rs
@@ -23,6 +23,8 @@
     Full,
     /// The rate limit that the upstream announced allows the request only later.
     RateLimited,
+    /// The tenant has used up its quota.
+    Quota,
     /// A service in the request's call tree is overloaded.
     Overload,
     /// The deadline passed.
@@ -36,12 +38,13 @@
 }
 
 impl RefusalReason {
-    const ALL: [(Self, &'static str); 10] = [
+    const ALL: [(Self, &'static str); 11] = [
         (Self::Unconfigured, "unconfigured"),
         (Self::NoUpstream, "no-upstream"),
         (Self::Leaving, "leaving"),
         (Self::Full, "full"),
         (Self::RateLimited, "limited"),
+        (Self::Quota, "quota"),
         (Self::Overload, "overload"),
         (Self::Deadline, "deadline"),
         (Self::BodyLate, "body-late"),
--- a/components/mesh/tests/fleet/mod.rs
+++ b/components/mesh/tests/fleet/mod.rs
@@ -22,7 +22,7 @@
 use mesh::process::events::Sink;
 use mesh::process::exchange::{self, Exchanged, Exchanger};
 use mesh::process::limiter::Acquire;
-use mesh::process::settings::Listen;
+use mesh::process::settings::{Listen, QuotaBounds, Revocation};
 use mesh::process::shared::{Shared, lock};
 use units::{Clock, ManualClock};
 
@@ -54,6 +54,9 @@
             caller: name("caller"),
             not_run: name("not-run"),
             rate_limit: name("rate-limit"),
+            key: name("key"),
+            tenant: name("tenant"),
+            load: name("load"),
             leaving: HeaderFlag { name: name("leaving"), value: "1" },
         };
         Self { clock, headers }
@@ -356,5 +359,10 @@
         drain_time: Duration::from_millis(1_500),
         stop_timeout: Duration::from_secs(6),
         cores: 1,
+        memory_bytes: None,
+        descriptors: None,
+        quota: QuotaBounds::default(),
+        retries: None,
+        revocation: Revocation::default(),
     }
 }
--- a/components/mesh/tests/routing.rs
+++ b/components/mesh/tests/routing.rs
@@ -9,8 +9,8 @@
 use mesh::decide::choose::{Peer, Tier};
 use mesh::decide::queue::Load;
 use mesh::decide::split::Split;
+use mesh::request::answer;
 use mesh::request::call::{self, Call, Root};
-use mesh::request::entry;
 use mesh::request::outcome::{Fault, Header, Refusal, RefusalReason};
 use units::Rate;
 
@@ -233,13 +233,13 @@
     let interval = 1_500 * MS;
     for reason in [RefusalReason::NoUpstream, RefusalReason::Leaving, RefusalReason::Unreachable] {
         expect_that!(
-            entry::expected_wait(&Refusal::new(reason), interval),
+            answer::expected_wait(&Refusal::new(reason), interval),
             eq(750 * MS),
             "{reason:?}"
         );
     }
     let full = Refusal { reason: RefusalReason::Full, wait: 40 * MS };
-    expect_that!(entry::expected_wait(&full, interval), eq(40 * MS));
+    expect_that!(answer::expected_wait(&full, interval), eq(40 * MS));
 }
 
 #[gtest]
