Read the load that upstreams report, and pass their service times on

Entries knew the wait beyond the slots of an upstream, but not how long it runs a request: upstreams whose speeds differ by a factor of 2.4 were used alike.

The guard reads the load header of answers that belong to a request of the current incarnation. It is bounded, has three or four figures, and anything else changes nothing and is counted as an invalid header. The ratio of the service-time factor to its average, the average run time and the age of the factor follow the reported load.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -14,4 +14,6 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod revision;
+pub mod server_load;
+pub mod service_time;
 pub mod split;
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -11,6 +11,7 @@
 
 use super::demand;
 use super::queue::Load;
+use super::service_time::ServiceTime;
 use crate::platform::StoreEpoch;
 
 /// Time without updates of a node after which calls avoid it.
@@ -163,6 +164,10 @@
     /// Requests per second that may be sent to the upstream, and how many of them at once, while there is a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rate: Option<(f64, f64)>,
+    /// Average run time in microseconds, latest service-time factor in hundredths of its average, and its age in
+    /// milliseconds, if the upstream reports that factor.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<(u32, u32, u32)>,
     /// Requests per second that arrived from clients and from the node's upstream, by route. Like all rates by route, only
     /// in the node's own reports to the delegate of its failure domain, which sums them.
     #[serde(rename = "came", default, skip_serializing_if = "Rates::is_empty")]
@@ -184,13 +189,15 @@
         let (running, waiting, limit, held_us) = self.load;
         let rate = self.rate.map(|(rate, _)| Rate(rate));
         let tokens = self.rate.map_or(0.0, |(_, tokens)| tokens);
-        Load { running, waiting, limit, held_us, rate, tokens }
+        let service_time =
+            self.service.and_then(|(run, percent, age)| ServiceTime::checked(run, percent, age));
+        Load { running, waiting, limit, held_us, rate, tokens, service_time }
     }
 
     /// The load alone, without the rates by route.
     fn without_rates(&self) -> Self {
-        let Self { sequence, load, rate, store_lost, .. } = *self;
-        Self { sequence, load, rate, store_lost, ..Self::default() }
+        let Self { sequence, load, rate, service, store_lost, .. } = *self;
+        Self { sequence, load, rate, service, store_lost, ..Self::default() }
     }
 
     /// Whether all figures can be of a node.
@@ -199,6 +206,9 @@
         let rates = [&self.arrivals, &self.admitted, &self.used];
         [running, waiting, limit].iter().all(|count| *count <= MAX_REQUESTS)
             && held_us <= MAX_HELD_US
+            && self
+                .service
+                .is_none_or(|(run, percent, age)| ServiceTime::checked(run, percent, age).is_some())
             && self.rate.is_none_or(|(rate, tokens)| rate >= 0.0 && tokens.is_finite())
             && rates.into_iter().all(demand::is_plausible)
     }
--- a/components/mesh/src/decide/queue.rs
+++ b/components/mesh/src/decide/queue.rs
@@ -8,6 +8,7 @@
 use units::Rate;
 
 use super::rate_limit::{Answer, RateLimit};
+use super::service_time::{ServiceTime, ServiceTimes};
 
 /// Share of the announced slots that is used: upstreams slow down when the last ones are taken.
 const USABLE_SHARE: f64 = 0.95;
@@ -68,6 +69,8 @@
     pub rate: Option<Rate>,
     /// Requests that may be sent at once within that limit.
     pub tokens: f64,
+    /// Run time, if the upstream reports its service-time factor.
+    pub service_time: Option<ServiceTime>,
 }
 
 impl Load {
@@ -90,6 +93,7 @@
     running: u32,
     held_secs: f64,
     rate_limit: RateLimit,
+    service_times: ServiceTimes,
     waiting: BTreeMap<Position, T>,
     next_number: u64,
 }
@@ -102,6 +106,7 @@
             running: 0,
             held_secs: INITIAL_HELD_SECS,
             rate_limit: RateLimit::default(),
+            service_times: ServiceTimes::default(),
             waiting: BTreeMap::new(),
             next_number: 0,
         }
@@ -133,6 +138,21 @@
         self.rate_limit.record_answer(answer, capacity, now);
     }
 
+    /// Records the service-time factor that the upstream reported.
+    pub fn record_factor(&mut self, factor: f64, now: Instant) {
+        self.service_times.record_factor(factor, now);
+    }
+
+    /// Forgets the service times: a new incarnation of the upstream has started.
+    pub fn reset_service_times(&mut self) {
+        self.service_times = ServiceTimes::default();
+    }
+
+    /// The latest service-time factor and its age.
+    pub fn latest_factor(&self, now: Instant) -> Option<(f64, Duration)> {
+        self.service_times.latest(now)
+    }
+
     /// The announced rate limit.
     pub fn announced_limit(&self) -> Option<Rate> {
         self.rate_limit.announced()
@@ -148,6 +168,7 @@
             held_us: (self.held_secs * 1e6) as u32,
             rate: rate.map(|(rate, _)| rate),
             tokens: rate.map_or(0.0, |(_, tokens)| tokens),
+            service_time: self.service_times.report(now),
         }
     }
 
@@ -181,6 +202,7 @@
     pub fn release(&mut self, held: Duration, complete: bool) {
         if complete {
             self.held_secs += (held.as_secs_f64() - self.held_secs) * HELD_WEIGHT;
+            self.service_times.record_run(held);
         }
         self.running = self.running.saturating_sub(1);
     }
--- a/components/mesh/src/process/announced.rs
+++ b/components/mesh/src/process/announced.rs
@@ -1,4 +1,4 @@
-//! What the upstream announces in its answers: a rate limit, and that it is leaving.
+//! What the upstream announces in its answers: a rate limit, that it is leaving, and how long work takes at the moment.
 //!
 //! Only this node reaches the upstream, so it applies both to the requests of all nodes. Entries remember them as a
 //! [`Notice`] and remind this node of them after a restart.
@@ -14,6 +14,7 @@
 use crate::decide::members::UpstreamState;
 use crate::decide::notice::Notice;
 use crate::decide::rate_limit::{Announced, Answer};
+use crate::decide::server_load::ServerLoad;
 use crate::platform::{Announcement, HeaderFlag, Heartbeat, Platform};
 
 /// Records what an answer to a request announces that was sent at `sent_at`.
@@ -35,6 +36,9 @@
     let answer = Answer { announced, sent_at, ran };
     let (before, after) = shared.limiter.record_answer(answer, shared.now());
     rate_limit_changed(shared, &upstream.id, before, after, "answer");
+    if let Some(factor) = reported_load(shared, &head.headers).and_then(|load| load.factor) {
+        shared.limiter.record_factor(factor, shared.now());
+    }
     if is_leaving(shared, &head.headers) {
         let (id, started_ms) = (upstream.id.clone(), Some(upstream.started_ms));
         control::announce(shared, Announcement::Leave { id, started_ms }, "answer");
@@ -103,6 +107,19 @@
     }
 }
 
+/// The load that the upstream reports; `None` if there is none, several, or an invalid one.
+fn reported_load<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> Option<ServerLoad> {
+    let name = &shared.platform.headers().load;
+    let mut values = headers.get_all(name).iter();
+    let first = values.next()?;
+    let load = first.to_str().ok().and_then(|text| text.parse().ok());
+    let load = load.filter(|_| values.next().is_none());
+    if load.is_none() {
+        shared.metrics.upstream.invalid_headers.with_label_values(&[name.as_str()]).inc();
+    }
+    load
+}
+
 fn is_leaving<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> bool {
     let HeaderFlag { name, value: set } = &shared.platform.headers().leaving;
     let mut leaving = false;
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -103,6 +103,7 @@
     shared.limiter.set_slots(heartbeat.slots, shared.now());
     if started {
         announced::reset_rate_limit(shared, &heartbeat.id);
+        shared.limiter.reset_service_times();
         shared.upstream_pool.close_idle(shared.settings.upstream);
     }
     shared.publish_upstream();
--- a/components/mesh/src/process/limiter.rs
+++ b/components/mesh/src/process/limiter.rs
@@ -83,6 +83,21 @@
         (before.0, after.0)
     }
 
+    /// Records the service-time factor that the upstream reported.
+    pub fn record_factor(&self, factor: f64, now: Instant) {
+        self.lock().record_factor(factor, now);
+    }
+
+    /// Forgets the service times: a new incarnation of the upstream has started.
+    pub fn reset_service_times(&self) {
+        self.lock().reset_service_times();
+    }
+
+    /// The latest service-time factor and its age.
+    pub fn latest_factor(&self, now: Instant) -> Option<(f64, Duration)> {
+        self.lock().latest_factor(now)
+    }
+
     /// The announced rate limit.
     pub fn announced_limit(&self) -> Option<Rate> {
         self.lock().announced_limit()
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -14,6 +14,7 @@
 use crate::connection::pool::{PooledConnection, SendError};
 use crate::decide::notice::{Notice, ReceivedNotice};
 use crate::decide::queue::Load;
+use crate::decide::service_time::ServiceTime;
 use crate::platform::Platform;
 use crate::process::events::Event;
 use crate::process::shared::{Shared, Target};
@@ -223,9 +224,17 @@
 
 impl std::fmt::Display for LoadReport {
     fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Load { running, waiting, limit, held_us: held, rate, tokens } = self.load;
+        let Load { running, waiting, limit, held_us: held, rate, tokens, service_time } = self.load;
         write!(out, "{running}/{waiting}/{limit}/{held}/{}", self.guard_time.as_micros())?;
-        rate.map_or(Ok(()), |rate| write!(out, "/{rate}/{tokens:.2}"))
+        match (rate, service_time) {
+            (Some(rate), _) => write!(out, "/{rate}/{tokens:.2}")?,
+            // Empty figures, which nodes of earlier versions take for no rate limit.
+            (None, Some(_)) => write!(out, "//")?,
+            (None, None) => {}
+        }
+        service_time.map_or(Ok(()), |ServiceTime { run_us, percent, age_ms }| {
+            write!(out, "/{run_us}/{percent}/{age_ms}")
+        })
     }
 }
 
@@ -239,6 +248,12 @@
         // Only sent while there is a rate limit.
         let rate = parts.next().and_then(|rate| rate.parse().ok());
         let tokens = parts.next().and_then(|tokens| tokens.parse().ok()).unwrap_or_default();
-        Ok(Self { load: Load { running, waiting, limit, held_us, rate, tokens }, guard_time })
+        let mut number = || parts.next().and_then(|part| part.parse::<u32>().ok());
+        let service_time = match (number(), number(), number()) {
+            (Some(run), Some(percent), Some(age)) => ServiceTime::checked(run, percent, age),
+            _ => None,
+        };
+        let load = Load { running, waiting, limit, held_us, rate, tokens, service_time };
+        Ok(Self { load, guard_time })
     }
 }
