Choose among nodes by expected time where upstreams report a service time

The choice moves from the shared state into a pure function. Where no upstream of the service reports a factor it is the same as before: a test compares 2,000 random services with the earlier rule and the same random numbers. Otherwise the cheapest node decides the tier, so that no traffic moves between zones for speed alone, three nodes of it are drawn in proportion to their speed, and the one with the least expected time is taken.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -14,6 +14,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod revision;
+pub mod select;
 pub mod server_load;
 pub mod service_time;
 pub mod split;
--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -5,10 +5,13 @@
 use super::meter;
 use super::notice::ReceivedNotice;
 use super::queue::Load;
+use super::service_time::ServiceTime;
 
 /// Time for which a node is avoided after its first failure, and the longest; it doubles with each failure.
 const FIRST_BACKOFF: Duration = Duration::from_millis(300);
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
+/// Least age of a service-time factor that another node relayed: the time between two exchanges.
+const RELAY_AGE_MS: u32 = 500;
 /// Age from which a load report is ignored.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(1_500);
 /// Cost, in time, of leaving the failure domain, or the region: traffic over these links is charged.
@@ -117,10 +120,20 @@
         if now.saturating_duration_since(self.reported_at) > REPORT_MAX_AGE
             || self.report.limit == 0
         {
-            self.record_report(load, now);
+            let service_time = load.service_time.map(|time| ServiceTime {
+                age_ms: time.age_ms.saturating_add(RELAY_AGE_MS),
+                ..time
+            });
+            self.record_report(Load { service_time, ..load }, now);
         }
     }
 
+    /// Expected run time of a request that is sent now; `None` if the upstream reports no service-time factor.
+    pub fn run_time(&self, now: Instant) -> Option<Duration> {
+        let age = now.saturating_duration_since(self.reported_at);
+        self.report.service_time.map(|service_time| service_time.run_time(age))
+    }
+
     /// Whether the node is avoided after a failure.
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.avoided_until.is_some_and(|until| now < until)
@@ -178,7 +191,8 @@
         meter::decay(self.failure_rate, self.outcome_at, FAILURE_DECAY, now)
     }
 
-    fn expected_wait(&self, now: Instant) -> Duration {
+    /// Expected wait for a slot, if each is held for `held_secs`, and for the rate limit.
+    fn expected_wait(&self, held_secs: f64, now: Instant) -> Duration {
         if self.report.limit == 0 {
             return Duration::ZERO;
         }
@@ -187,7 +201,7 @@
         let sent_since =
             self.inflight.saturating_sub(if fresh { self.reported_inflight } else { 0 });
         let excess = (reported + sent_since + 1).saturating_sub(self.report.limit);
-        let slot_interval = self.report.held_secs() / f64::from(self.report.limit);
+        let slot_interval = held_secs / f64::from(self.report.limit);
         let slot_wait = f64::from(excess) * slot_interval;
         let token_wait = self.report.rate.map_or(0.0, |rate| {
             let (waiting, tokens) = if fresh {
@@ -203,6 +217,21 @@
 
     /// Cost of sending a request to the node, as time.
     pub fn cost(&self, tier: Tier, avoid: bool, now: Instant) -> Duration {
+        self.cost_at(self.report.held_secs(), tier, avoid, now)
+    }
+
+    /// Expected time to the answer of a request that is run for `run_time`, with the same costs.
+    pub fn expected_time(
+        &self,
+        run_time: Duration,
+        tier: Tier,
+        avoid: bool,
+        now: Instant,
+    ) -> Duration {
+        self.cost_at(run_time.as_secs_f64(), tier, avoid, now) + run_time
+    }
+
+    fn cost_at(&self, held_secs: f64, tier: Tier, avoid: bool, now: Instant) -> Duration {
         let path_cost = match tier {
             Tier::Zone => Duration::ZERO,
             Tier::Region => CROSS_ZONE_COST,
@@ -214,6 +243,6 @@
         let overhead = Duration::from_secs_f64(overhead).saturating_sub(path_cost);
         let silent = if self.is_silent(now) { SILENT_COST } else { Duration::ZERO };
         let avoided = if avoid { AVOIDED_COST } else { Duration::ZERO };
-        self.expected_wait(now) + path_cost + failure_cost + overhead + silent + avoided
+        self.expected_wait(held_secs, now) + path_cost + failure_cost + overhead + silent + avoided
     }
 }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -27,6 +27,7 @@
 use crate::decide::members::{Merged, Record, Table, UpstreamState};
 use crate::decide::parents::ParentTracker;
 use crate::decide::revision::{Origin, Revision};
+use crate::decide::select::{self, Candidate};
 use crate::decide::split::Split;
 use crate::platform::{Platform, StoreEpoch, StoreError};
 use crate::request::call::Root;
@@ -36,10 +37,6 @@
 /// Timeout for connecting to another node: twice the longest round trip between regions.
 const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Cost of a node whose upstream is leaving: it is used only if no other accepts requests, and its guard answers how
-/// long to wait.
-const LEAVING_COST: Duration = Duration::from_secs(30);
-
 /// Unusable entries that are logged one by one; of later ones, each of so many is.
 const MAX_SKIPPED_LINES: u64 = 64;
 const SKIPPED_PER_LINE: u64 = 100;
@@ -338,33 +335,23 @@
         }
     }
 
-    /// Picks the cheapest node of a service that is not in `tried`; also returns whether there are others.
+    /// Chooses a node of a service that is not in `tried`; also returns whether there are others.
     pub fn choose_node(&self, service: &str, tried: &[Arc<str>]) -> Option<(Target, bool)> {
         let now = self.now();
         let table = lock(&self.members);
         let peers = lock(&self.peers);
-        let mut best: Option<(Duration, &Record)> = None;
-        let mut has_more = false;
-        for (member, silent) in table.of_service(service, now) {
+        let candidates = table.of_service(service, now).filter_map(|(member, silent)| {
             let record = &member.record;
-            let leaving = record.state == UpstreamState::Leaving;
-            if record.state == UpstreamState::Unknown || tried.contains(&record.node) {
-                continue;
-            }
-            let tier = self.tier(record);
-            let known = peers.get(&record.node);
-            let cost = match known {
-                Some(peer) => peer.cost(tier, silent, now),
-                None => Peer::new(now).cost(tier, silent, now),
-            };
-            let cost = cost + if leaving { LEAVING_COST } else { Duration::ZERO };
-            let cost = cost + Duration::from_micros(rand::random_range(0..500));
-            has_more = best.is_some();
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, record));
-            }
-        }
-        let (_, record) = best?;
+            let usable = record.state != UpstreamState::Unknown && !tried.contains(&record.node);
+            usable.then(|| Candidate {
+                value: record,
+                peer: peers.get(&record.node),
+                tier: self.tier(record),
+                silent,
+                leaving: record.state == UpstreamState::Leaving,
+            })
+        });
+        let (record, has_more) = select::select(candidates, now, &mut rand::rng())?;
         let local = record.node == self.settings.node;
         Some((Target { record: record.clone(), local }, has_more))
     }
