Keep retries within a share of the first attempts of two windows

Where a leaf sheds half of its calls, trees fail at their first call, first attempts collapse, and with them a budget that is earned by first attempts, although the deployment's rule allows a share of the load before.

Without bounds the budget is the one of before. Steps of the rank limit are rare when calls collapse, so that the limit is first set from the shed share and the calls by priority of the time before (decide/shedding.rs). The start allowance is at most one retry a node, and three quarters of the slack at all nodes; none before the nodes are counted.

Tests pass a rank to record_send and a time to try_retry; no expectation of an existing test has changed.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod aggregate;
 pub mod budget;
+pub mod budgets;
 pub mod choose;
 pub mod demand;
 pub mod epoch;
@@ -13,5 +14,7 @@
 pub mod parents;
 pub mod queue;
 pub mod rate_limit;
+pub mod retry_window;
 pub mod revision;
+pub mod shedding;
 pub mod split;
--- a/components/mesh/src/decide/budget.rs
+++ b/components/mesh/src/decide/budget.rs
@@ -4,10 +4,17 @@
 //! tree through: a tree of eight calls that fail half of the time nearly always lacks one. Each tree therefore has a rank,
 //! the same at all nodes, and only trees up to some rank get retries. A node moves this limit so that those trees get
 //! every retry they ask for: down when one of them finds the budget empty, up when retries are left over.
+//!
+//! Where the deployment states its bounds, retries are earned by time, at the share of the first attempts of the last two
+//! windows, and the window is a second limit. When trees fail at their first call, first attempts collapse; retries
+//! earned by them alone would collapse too, although the deployment allows a share of the earlier load. As steps of the
+//! limit are rare then, it is first set to what the shed share and the earlier calls suggest, and moves from there.
 
 use std::time::{Duration, Instant};
 
 use super::meter::DecayingRate;
+use super::retry_window::RetryWindow;
+use super::shedding::{Change, Shedding};
 
 /// Retries per first send, for services whose upstreams make no calls and for those whose upstreams do. Retrying a
 /// request repeats its calls: the first ratio plus three times the second stays under one fifth for the deployment.
@@ -25,6 +32,17 @@
 /// Time constant of the rate of first sends.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
 
+/// Share of the deployment's ratio that nodes allow for services whose upstreams make no calls, and for those whose
+/// upstreams do: the proportions of the ratios above, less a tenth for load that moves between nodes.
+const LEAF_SHARE: f64 = 0.9 * LEAF_RATIO / 0.2;
+const CALLING_SHARE: f64 = 0.9 * CALLING_RATIO / 0.2;
+/// Rate at which retries are earned, relative to one that fills the window evenly, so that a service that sheds for less
+/// than a window can use all of it.
+const PACE: f64 = 1.25;
+/// Time in which earned retries may be saved: a tree needs all of its retries within a fraction of a second, and with
+/// less, two trees at once leave each other without. The window bounds what is sent.
+const SAVED_SECS: f64 = 6.0;
+
 /// First sends between two changes of the limit.
 const STEP_SENDS: u32 = 24;
 /// Factor on the limit after a step in which a tree within it found the budget empty, after one that ended with a budget
@@ -59,16 +77,48 @@
         self.0 >> PRIORITY_BITS == 0
     }
 
+    /// Priority of the tree.
+    fn priority(self) -> u8 {
+        (self.0 >> PRIORITY_BITS) as u8
+    }
+
     /// The lowest limit that all trees of this priority are within.
     fn priority_end(self) -> f64 {
         f64::from((self.0 >> PRIORITY_BITS) + 1) * f64::from(1 << PRIORITY_BITS)
     }
 }
 
+/// Bounds of a deployment on the retries to a service in any window, as far as they concern one node.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bounds {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window: Duration,
+    /// Retries of this node in any window besides.
+    pub allowance: f64,
+}
+
+/// Retries in a window, and the rate at which they are earned.
+#[derive(Debug, Clone)]
+struct Windowed {
+    bounds: Bounds,
+    counts: RetryWindow,
+    share: f64,
+    /// Retries earned per second.
+    pace: f64,
+    paced_at: Instant,
+    /// Earned since the last first send.
+    earned: f64,
+    shedding: Shedding,
+}
+
 /// Retries that a node may still send to one service.
 #[derive(Debug, Clone)]
 pub struct Budget {
     tokens: f64,
+    /// None if the deployment states no bounds.
+    windowed: Option<Windowed>,
     /// Highest rank that gets retries.
     limit: f64,
     /// The limit that all trees seen so far are within.
@@ -81,11 +131,45 @@
     streak: i32,
 }
 
+impl Windowed {
+    fn new(bounds: Bounds, now: Instant) -> Self {
+        let counts = RetryWindow::new(bounds.window, now);
+        let shedding = Shedding::new(now);
+        Self { bounds, counts, share: 0.0, pace: 0.0, paced_at: now, earned: 0.0, shedding }
+    }
+
+    /// Counts a first send, and returns the retries that it earns.
+    fn record_send(&mut self, calls: bool, rank: Rank, now: Instant) -> f64 {
+        self.shedding.record_first(rank.priority(), now);
+        self.share = self.bounds.ratio * if calls { CALLING_SHARE } else { LEAF_SHARE };
+        self.counts.record_first(now);
+        self.pace = PACE * self.share * self.counts.rate(now);
+        let by_time = self.earn(now);
+        // After a start, the window holds little.
+        by_time + (self.share - std::mem::take(&mut self.earned)).max(0.0)
+    }
+
+    /// Retries earned by time since the last call.
+    fn earn(&mut self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.paced_at);
+        self.paced_at = self.paced_at.max(now);
+        let earned = self.pace * passed.as_secs_f64();
+        self.earned += earned;
+        earned
+    }
+
+    /// Whether the window allows so many retries.
+    fn allows(&mut self, retries: f64, now: Instant) -> bool {
+        self.counts.left(self.share, now) + self.bounds.allowance >= retries
+    }
+}
+
 impl Budget {
     /// A budget that allows few retries, until requests are sent.
     pub fn new(now: Instant) -> Self {
         Self {
             tokens: 1.0 + URGENT_RESERVE,
+            windowed: None,
             limit: f64::INFINITY,
             top: MIN_LIMIT,
             sends: 0,
@@ -95,16 +179,33 @@
         }
     }
 
-    /// Counts a first send; `calls` is whether the service's upstreams make calls.
-    pub fn record_send(&mut self, calls: bool, now: Instant) {
-        let ratio = if calls { CALLING_RATIO } else { LEAF_RATIO };
+    /// A budget within bounds of the deployment.
+    pub fn bounded(bounds: Bounds, now: Instant) -> Self {
+        Self { windowed: Some(Windowed::new(bounds, now)), ..Self::new(now) }
+    }
+
+    /// Changes the retries that this node may send in any window besides the share.
+    pub fn set_allowance(&mut self, allowance: f64) {
+        if let Some(windowed) = &mut self.windowed {
+            windowed.bounds.allowance = allowance;
+        }
+    }
+
+    /// Counts a first send of a tree's call; `calls` is whether the service's upstreams make calls.
+    pub fn record_send(&mut self, calls: bool, rank: Rank, now: Instant) {
         self.rate.add(1.0, now);
-        let max = MAX_TOKENS + (self.rate.rate(now) * BURST_SECS).min(MAX_BURST);
-        self.tokens = (self.tokens + ratio).min(max);
+        let earned = match &mut self.windowed {
+            Some(windowed) => windowed.record_send(calls, rank, now),
+            None if calls => CALLING_RATIO,
+            None => LEAF_RATIO,
+        };
+        let max = self.max_tokens(now);
+        self.tokens = (self.tokens + earned).min(max);
         self.sends += 1;
         if self.sends >= STEP_SENDS {
             self.move_limit(self.tokens / max);
         }
+        self.follow_shedding(now);
     }
 
     /// Whether a tree of this rank gets retries although others don't.
@@ -113,19 +214,55 @@
     }
 
     /// Takes a retry from the budget, if one is left for a tree of this rank.
-    pub fn try_retry(&mut self, rank: Rank) -> bool {
+    pub fn try_retry(&mut self, rank: Rank, now: Instant) -> bool {
         self.top = self.top.max(rank.priority_end());
+        if let Some(windowed) = &mut self.windowed {
+            windowed.shedding.record_shed(now);
+        }
+        self.follow_shedding(now);
         if f64::from(rank.0) > self.limit {
             return false;
         }
-        let granted = self.tokens >= if rank.is_urgent() { 1.0 } else { 1.0 + URGENT_RESERVE };
+        let max = self.max_tokens(now);
+        let needed = if rank.is_urgent() { 1.0 } else { 1.0 + URGENT_RESERVE };
+        let mut granted = true;
+        if let Some(windowed) = &mut self.windowed {
+            self.tokens = (self.tokens + windowed.earn(now)).min(max);
+            granted = windowed.allows(needed, now);
+        }
+        granted &= self.tokens >= needed;
         if granted {
             self.tokens -= 1.0;
+            if let Some(windowed) = &mut self.windowed {
+                windowed.counts.record_retry(now);
+                windowed.shedding.record_retry(now);
+            }
         }
         self.exhausted |= !granted;
         granted
     }
 
+    /// Sets the limit when the service starts to shed calls, and drops it when that ends.
+    fn follow_shedding(&mut self, now: Instant) {
+        let Some(windowed) = &mut self.windowed else { return };
+        match windowed.shedding.update(PACE * windowed.share, now) {
+            Some(Change::Started(priority, share)) => {
+                let start = Rank::new(priority, 0);
+                let limit = f64::from(start.0) + share * f64::from(1 << PRIORITY_BITS);
+                self.limit = self.limit.min(limit).max(MIN_LIMIT);
+            }
+            Some(Change::Ended) => self.limit = f64::INFINITY,
+            None => {}
+        }
+    }
+
+    /// Most retries that may be saved.
+    fn max_tokens(&self, now: Instant) -> f64 {
+        let burst = (self.rate.rate(now) * BURST_SECS).min(MAX_BURST);
+        let saved = self.windowed.as_ref().map_or(0.0, |windowed| windowed.pace * SAVED_SECS);
+        MAX_TOKENS + burst.max(saved)
+    }
+
     /// Moves the limit; `filled` is the filled share of the budget.
     fn move_limit(&mut self, filled: f64) {
         self.sends = 0;
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -333,6 +333,8 @@
 /// Recomputes the admission shares.
 fn update_shares<P: Platform>(shared: &Shared<P>) {
     let demand = demand(shared);
+    let nodes = lock(&shared.members).all(shared.now()).count();
+    lock(&shared.budgets).set_nodes(nodes);
     let priorities = shared.priorities();
     let mut traffic = lock(&shared.traffic);
     let before = traffic::format_shares(&traffic.admission, &priorities);
--- a/components/mesh/src/process/settings.rs
+++ b/components/mesh/src/process/settings.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use crate::decide::budgets::RetryBounds;
+
 /// Addresses that a node listens on.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listen {
@@ -73,17 +75,6 @@
     }
 }
 
-/// Retries that a service may get in any window, over all nodes together.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RetryBounds {
-    /// Retries per request.
-    pub ratio: f64,
-    /// Length of the window.
-    pub window: Duration,
-    /// Retries besides.
-    pub slack: f64,
-}
-
 /// What becomes of keys while the configuration is not confirmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Revocation {
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -22,7 +22,7 @@
 use crate::configuration::{Configuration, Digest};
 use crate::connection::pool::Pool;
 use crate::decide::aggregate::Aggregates;
-use crate::decide::budget::Budget;
+use crate::decide::budgets::Budgets;
 use crate::decide::choose::{Peer, Tier};
 use crate::decide::members::{Merged, Record, Table, UpstreamState};
 use crate::decide::parents::ParentTracker;
@@ -82,7 +82,7 @@
     /// Load and health of the nodes that requests are sent to.
     pub peers: Mutex<HashMap<Arc<str>, Peer>>,
     /// Retry budgets by service.
-    pub budgets: Mutex<HashMap<Arc<str>, Budget>>,
+    pub budgets: Mutex<Budgets>,
     /// Progress of weighted splits, by route.
     pub splits: Mutex<HashMap<Arc<str>, Split>>,
     /// Reports of the failure domain's nodes, and sums of failure domains and regions.
@@ -151,7 +151,7 @@
             peer_pool: Arc::new(Pool::new(Some(settings.listen.peers.ip()), PEER_CONNECT_TIMEOUT)),
             members: Mutex::new(Table::new(own, now)),
             peers: Mutex::default(),
-            budgets: Mutex::default(),
+            budgets: Mutex::new(Budgets::new(settings.retries)),
             splits: Mutex::default(),
             aggregates: Mutex::default(),
             traffic: Mutex::new(Traffic::new()),
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -12,7 +12,6 @@
 use super::outcome::{Fault, Outcome, Refusal, RefusalReason};
 use super::routed::RoutedRequest;
 use super::{guard, peer};
-use crate::decide::budget::Budget;
 use crate::platform::Platform;
 use crate::process::events::Event;
 use crate::process::shared::{Shared, Target, lock};
@@ -78,11 +77,8 @@
 ) -> Forwarded<P> {
     let calls = lock(&shared.traffic).admission.makes_calls(&routed.call.service);
     let now = shared.now();
-    let service = routed.call.service.clone();
-    lock(&shared.budgets)
-        .entry(service)
-        .or_insert_with(|| Budget::new(now))
-        .record_send(calls, now);
+    let rank = routed.call.root.rank();
+    lock(&shared.budgets).record_send(&routed.call.service, calls, rank, now);
     let refusal = Refusal::new(RefusalReason::NoUpstream);
     let mut forwarder = Forwarder {
         shared,
@@ -273,11 +269,7 @@
         if sent >= u32::from(route.max_attempts) || remaining.is_zero() {
             return false;
         }
-        if !lock(&self.shared.budgets)
-            .entry(call.service.clone())
-            .or_insert_with(|| Budget::new(now))
-            .try_retry(call.root.rank())
-        {
+        if !lock(&self.shared.budgets).try_retry(&call.service, call.root.rank(), now) {
             return false;
         }
         self.shared.metrics.retries.with_label_values(&[reason]).inc();
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -15,7 +15,6 @@
 use super::outcome::{Fault, Outcome, Refusal, RefusalReason};
 use crate::connection::pool::{PooledConnection, SendError};
 use crate::connection::socket;
-use crate::decide::budget::Budget;
 use crate::decide::parents;
 use crate::decide::queue::SlotRequest;
 use crate::platform::{Heartbeat, Platform};
@@ -184,10 +183,8 @@
     }
     let rank = call.root.rank();
     let budgets = lock(&shared.budgets);
-    let prefers =
-        |service| budgets.get(service).is_some_and(|budget: &Budget| budget.prefers(rank));
     let limits = lock(&shared.call_limits);
-    let preferring = limits.iter().filter(|(service, _)| prefers(*service));
+    let preferring = limits.iter().filter(|(service, _)| budgets.prefers(service, rank));
     let limit = preferring.map(|(_, limit)| limit.saturating_sub(LIMIT_MARGIN)).min();
     limit.filter(|limit| *limit >= MIN_LIMITED_RUN).map_or(remaining, |limit| remaining.min(limit))
 }
--- a/components/mesh/tests/retry_trees.rs
+++ b/components/mesh/tests/retry_trees.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use mesh::decide::budget::{self, Budget, Rank};
+use mesh::decide::budget::{self, Bounds, Budget, Rank};
 
 /// Share of the calls that the service sheds.
 const SHED_SHARE: f64 = 0.55;
@@ -57,12 +57,12 @@
 }
 
 /// Sends a call until it succeeds or the budget allows no further retry.
-fn call(budget: &mut Budget, rank: Rank, shed_share: f64, random: &mut Random) -> bool {
+fn call(node: &mut Node, rank: Rank, shed_share: f64, random: &mut Random) -> bool {
     loop {
         if random.next() >= shed_share {
             return true;
         }
-        if !budget.try_retry(rank) {
+        if !node.budget.try_retry(rank, node.now) {
             return false;
         }
     }
@@ -77,8 +77,8 @@
         let index = (random.next() * CONCURRENT as f64) as usize;
         let tree = &mut trees[index];
         node.now += CALL_INTERVAL;
-        node.budget.record_send(false, node.now);
-        let succeeded = call(&mut node.budget, tree.rank, shed_share, &mut random);
+        node.budget.record_send(false, tree.rank, node.now);
+        let succeeded = call(node, tree.rank, shed_share, &mut random);
         tree.left -= 1;
         if succeeded && tree.left > 0 {
             continue;
@@ -135,3 +135,64 @@
     expect_that!(node.budget.prefers(Rank::new(0, budget::UNKNOWN)), eq(false));
     expect_that!(node.budget.prefers(Rank::new(2, 0)), eq(false));
 }
+
+/// Trees that arrive at a node each second, which are more than its budget can see through.
+const TREES_PER_SEC: f64 = 9.0;
+/// Time between two calls of a tree.
+const CALL_GAP: Duration = Duration::from_millis(20);
+/// Length of the time in which the service sheds calls, after as much time in which it does not.
+const SHED_TIME: Duration = Duration::from_millis(8_500);
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+const BOUNDS: Bounds = Bounds { ratio: 0.2, window: BUDGET_WINDOW, allowance: 1.0 };
+
+/// Urgent trees that are seen through during the shedding, of those that start in it. Trees arrive whatever becomes of
+/// others, so that calls become fewer when trees fail.
+fn play_arrivals(mut node: Node, seed: u64) -> [u32; 2] {
+    let mut random = Random(seed);
+    let mut trees: Vec<(Instant, Tree, bool)> = Vec::new();
+    let (start, step) = (node.now, Duration::from_millis(1));
+    let (shed_from, end) = (start + 2 * BUDGET_WINDOW, start + 2 * BUDGET_WINDOW + SHED_TIME);
+    let mut counts = [0, 0];
+    while node.now < end {
+        let shed_share = if node.now < shed_from { 0.0 } else { SHED_SHARE };
+        if random.next() < TREES_PER_SEC * step.as_secs_f64() {
+            let tree = Tree::start(&mut random);
+            let counted = tree.calls == 8 && node.now >= shed_from;
+            counts[0] += u32::from(counted);
+            trees.push((node.now, tree, counted));
+        }
+        let mut pending = Vec::new();
+        for (at, mut tree, counted) in std::mem::take(&mut trees) {
+            if at > node.now {
+                pending.push((at, tree, counted));
+                continue;
+            }
+            node.budget.record_send(false, tree.rank, node.now);
+            let succeeded = call(&mut node, tree.rank, shed_share, &mut random);
+            tree.left -= 1;
+            if succeeded && tree.left > 0 {
+                pending.push((at + CALL_GAP, tree, counted));
+            } else {
+                counts[1] += u32::from(succeeded && counted);
+            }
+        }
+        trees = pending;
+        node.now += step;
+    }
+    counts
+}
+
+/// Guards against a budget that collapses with the first attempts: when trees fail at their first call, they make no
+/// further ones, although a share of the load before the shedding may be retried.
+#[gtest]
+fn whole_trees_are_seen_through_with_the_retries_of_the_load_before() {
+    let (mut whole, mut bounded) = (0, 0);
+    for seed in 1..=20 {
+        let now = Instant::now();
+        whole += play_arrivals(Node::start(), seed)[1];
+        let node = Node { budget: Budget::bounded(BOUNDS, now), now };
+        bounded += play_arrivals(node, seed)[1];
+    }
+    println!("{whole} urgent trees without a window, {bounded} with one");
+    expect_that!(bounded, ge(whole + whole / 2));
+}
--- a/components/mesh/tests/routing.rs
+++ b/components/mesh/tests/routing.rs
@@ -33,8 +33,8 @@
     let mut budget = Budget::new(now);
     let mut retries = 0;
     for _ in 0..1_000 {
-        budget.record_send(calls, now);
-        while budget.try_retry(Rank::new(0, 0)) {
+        budget.record_send(calls, Rank::new(0, 0), now);
+        while budget.try_retry(Rank::new(0, 0), now) {
             retries += 1;
         }
     }
@@ -54,10 +54,10 @@
     let mut budget = Budget::new(now);
     let mut retries = [0, 0];
     for round in 0..2_000 {
-        budget.record_send(false, now);
         let urgent = round % 3 == 0;
         let rank = Rank::new(u8::from(!urgent), (round * 7_919 % 65_536) as u16);
-        if round % 2 == 0 && budget.try_retry(rank) {
+        budget.record_send(false, rank, now);
+        if round % 2 == 0 && budget.try_retry(rank, now) {
             retries[usize::from(urgent)] += 1;
         }
     }
