Admit callers that were refused and have come back before fresh ones

The usual largest time left is learned for each route (decide/returning.rs); requests clearly below it are returning ones, unless fresh requests of the route differ in it. When a route is admitted in part, these may take up to two requests of later credit at a node; fresh requests need a full credit.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -15,6 +15,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod retry_window;
+pub mod returning;
 pub mod revision;
 pub mod shedding;
 pub mod split;
--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -28,6 +28,8 @@
 const MIN_RATE: f64 = 0.1;
 /// Share from which every request is admitted.
 const FULL_SHARE: f64 = 0.999;
+/// Requests of a route that a node may admit ahead of its share for callers that have come back.
+const MAX_DEBT: f64 = 2.0;
 
 /// Slots by service, for each root route.
 type RouteSlots = BTreeMap<Arc<str>, Rates>;
@@ -79,21 +81,28 @@
         }
     }
 
-    /// Whether to admit a root request of the route. Shares are met exactly, not on average.
-    pub fn try_admit(&mut self, route: &Arc<str>) -> bool {
+    /// Whether to admit a root request of the route. Shares are met exactly, not on average. A request whose caller was
+    /// refused and has come back may take the credit of later ones, so that it goes before fresh requests.
+    pub fn try_admit(&mut self, route: &Arc<str>, returning: bool) -> bool {
         let share = self.share(route);
         if share >= FULL_SHARE {
             return true;
         }
         let credit = self.credits.entry(route.clone()).or_insert(1.0);
         *credit += share;
-        if *credit < 1.0 {
+        let needed = if returning { 1.0 - MAX_DEBT } else { 1.0 };
+        if *credit < needed {
             return false;
         }
         *credit = (*credit - 1.0).min(1.0);
         true
     }
 
+    /// Whether all requests of the route are admitted.
+    pub fn is_full(&self, route: &Arc<str>) -> bool {
+        self.share(route) >= FULL_SHARE
+    }
+
     /// Admitted share of a route.
     pub fn share(&self, route: &Arc<str>) -> f64 {
         self.shares.get(route).copied().unwrap_or(1.0)
--- a/components/mesh/src/process/traffic.rs
+++ b/components/mesh/src/process/traffic.rs
@@ -9,6 +9,7 @@
 use crate::decide::members::{Measurements, Rates};
 use crate::decide::meter::DecayingRate;
 use crate::decide::queue::Load;
+use crate::decide::returning::Returning;
 
 /// Time constant of the decaying rates.
 const RATE_TIME_CONSTANT: Duration = Duration::from_millis(800);
@@ -23,6 +24,8 @@
     arrived: DecayingRates,
     admitted: DecayingRates,
     used: DecayingRates,
+    /// Recognises callers that were refused before.
+    returning: Returning,
     /// When the shares were computed.
     planned_at: Option<Instant>,
     /// The admission shares.
@@ -40,9 +43,11 @@
         add(&mut self.arrived, route, 1.0, now);
     }
 
-    /// Decides whether to admit a root request.
-    pub fn try_admit(&mut self, route: &Arc<str>, now: Instant) -> bool {
-        let admitted = self.admission.try_admit(route);
+    /// Decides whether to admit a root request whose caller has so much time left.
+    pub fn try_admit(&mut self, route: &Arc<str>, left: Duration, now: Instant) -> bool {
+        let in_full = self.admission.is_full(route);
+        let returning = self.returning.observe(route, left, in_full, now);
+        let admitted = self.admission.try_admit(route, returning);
         if admitted {
             add(&mut self.admitted, route, 1.0, now);
         }
