Plan admission by classes of route and priority

A tenant's priority goes before the route's in queues and retries, but the plan went by the route's name and priority alone: a tenant of high priority was refused on a route of low priority.

A root request is of the class of its route and its priority. The class has the route's name where the priority is the route's, so that deployments without tenants have the same names on the wire and the same plan; others are named route#priority (decide/class.rs). The class travels as the root's route, so that slots are booked by class without a change of the guard. Whether a route is internal is decided from the sum of its classes, which are rarer. The log states the smallest share of the route's classes.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod budgets;
 pub mod choose;
+pub mod class;
 pub mod demand;
 pub mod epoch;
 pub mod follow;
--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::class;
 use super::demand::Demand;
 use super::members::Rates;
 
@@ -42,7 +43,7 @@
     updated_at: Option<Instant>,
 }
 
-/// Shares of root requests that are admitted, by route.
+/// Shares of root requests that are admitted, by class. Classes are named like routes ([`class`]).
 #[derive(Debug, Clone, Default)]
 pub struct Admission {
     averages: Averages,
@@ -57,7 +58,7 @@
 }
 
 impl Admission {
-    /// Recomputes the shares; `priorities` gives the priority of each route.
+    /// Recomputes the shares of all classes; `priorities` gives the priority of each route.
     pub fn plan(&mut self, demand: &Demand, priorities: &BTreeMap<Arc<str>, u8>, now: Instant) {
         demand.update_internal_routes(&mut self.internal);
         self.calling = demand.calling_services(&self.internal);
@@ -68,8 +69,8 @@
         self.averages.update(demand, now);
         self.estimate_needs(demand, &offered, &mut capacity);
         let mut routes: Vec<Arc<str>> =
-            offered.into_keys().filter(|route| !self.internal.contains(route)).collect();
-        let priority = |route: &Arc<str>| priorities.get(route).copied().unwrap_or(u8::MAX);
+            offered.into_keys().filter(|route| !self.is_internal(route)).collect();
+        let priority = |route: &Arc<str>| class::priority(route, priorities);
         routes.sort_by_key(|route| priority(route));
         self.shares = routes.iter().map(|route| (route.clone(), 0.0)).collect();
         self.allocate(&routes, BASE_SHARE, &mut capacity);
@@ -108,9 +109,21 @@
         self.shares.get(route).copied().unwrap_or(1.0)
     }
 
-    /// Whether the route is called by upstreams rather than by clients.
-    pub fn is_internal(&self, route: &Arc<str>) -> bool {
-        self.internal.contains(route)
+    /// Smallest admitted share of the classes of a route.
+    pub fn least_share(&self, route: &str) -> f64 {
+        let classes = self.shares.iter().filter(|(name, _)| class::parse(name).0 == route);
+        classes.fold(1.0, |least, (_, share)| share.min(least))
+    }
+
+    /// Classes that are not admitted in full, and their shares.
+    pub fn reduced(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let shares = self.shares.iter().map(|(name, share)| (name, *share));
+        shares.filter(|(_, share)| *share < FULL_SHARE)
+    }
+
+    /// Whether the route of a class is called by upstreams rather than by clients.
+    pub fn is_internal(&self, name: &str) -> bool {
+        self.internal.contains(class::parse(name).0)
     }
 
     /// Whether upstreams of the service make calls; true while no internal route is known.
@@ -150,7 +163,7 @@
         self.needs.clear();
         for (route, admitted) in &self.averages.admitted {
             // Calls with an unknown root can't be refused at an entry.
-            let internal = self.internal.contains(route);
+            let internal = self.is_internal(route);
             let ratio = offered.get(route).copied().unwrap_or_default() / admitted;
             for (service, used) in self.averages.used.get(route).into_iter().flatten() {
                 let need = used
@@ -162,7 +175,7 @@
             }
         }
         for (service, used) in &demand.used {
-            let unknown = used.iter().filter(|(route, _)| self.internal.contains(*route));
+            let unknown = used.iter().filter(|(route, _)| self.is_internal(route));
             let unknown: f64 = unknown.map(|(_, slots)| slots).sum();
             if let Some(free) = capacity.get_mut(service) {
                 *free -= unknown;
--- a/components/mesh/src/decide/demand.rs
+++ b/components/mesh/src/decide/demand.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::class;
 use super::members::{Measurements, Rates, Record, UpstreamState};
 
 /// Average rate per service, in requests per second, from which a route is unlikely to be absent at one by chance.
@@ -102,7 +103,8 @@
     /// Services whose upstreams call one of the given internal routes.
     pub fn calling_services(&self, internal: &BTreeSet<Arc<str>>) -> BTreeSet<Arc<str>> {
         let calls = |arrivals: &Rates| {
-            arrivals.iter().any(|(route, rate)| *rate >= CALLING_RATE && internal.contains(route))
+            let mut routes = by_route(arrivals).into_iter();
+            routes.any(|(route, rate)| rate >= CALLING_RATE && internal.contains(route))
         };
         let services = self.arrivals.iter().filter(|(_, arrivals)| calls(arrivals));
         services.map(|(service, _)| service.clone()).collect()
@@ -115,17 +117,18 @@
         if services < 2 {
             return;
         }
-        for (route, rate) in self.offered() {
+        // Classes of a route may have too few requests to tell.
+        let arrivals: Vec<_> = self.arrivals.values().map(by_route).collect();
+        for (route, rate) in by_route(&self.offered()) {
             let average = rate / services as f64;
             if average < MIN_RATE {
                 continue;
             }
-            let rates =
-                self.arrivals.values().map(|arrivals| arrivals.get(&route).copied().unwrap_or(0.0));
+            let rates = arrivals.iter().map(|rates| rates.get(route).copied().unwrap_or(0.0));
             if rates.fold(f64::INFINITY, f64::min) < average * ABSENT_SHARE {
-                known.insert(route);
+                known.insert(route.into());
             } else {
-                known.remove(&route);
+                known.remove(route);
             }
         }
     }
@@ -136,6 +139,15 @@
     rates.values().all(|rate| (0.0..=MAX_FIGURE).contains(rate))
 }
 
+/// Rates of the classes, summed by route.
+fn by_route(rates: &Rates) -> BTreeMap<&str, f64> {
+    let mut sums = BTreeMap::new();
+    for (name, rate) in rates {
+        *sums.entry(class::parse(name).0).or_default() += rate;
+    }
+    sums
+}
+
 fn add_rates(into: &mut Rates, from: &Rates) {
     for (route, rate) in from {
         *into.entry(route.clone()).or_default() += rate;
--- a/components/mesh/src/process/traffic.rs
+++ b/components/mesh/src/process/traffic.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::decide::admission::Admission;
+use crate::decide::class;
 use crate::decide::demand::Demand;
 use crate::decide::members::{Measurements, Rates};
 use crate::decide::meter::DecayingRate;
@@ -21,6 +22,7 @@
 /// Measured rates and the admission shares in use.
 #[derive(Debug, Default)]
 pub struct Traffic {
+    classes: class::Names,
     arrived: DecayingRates,
     admitted: DecayingRates,
     used: DecayingRates,
@@ -38,6 +40,21 @@
         Self::default()
     }
 
+    /// Counts a request of a route, whose usual priority is `usual`, and returns the name of its class. Calls are of the
+    /// class that has the route's name.
+    pub fn classify(
+        &mut self,
+        route: &Arc<str>,
+        usual: u8,
+        priority: u8,
+        now: Instant,
+    ) -> Arc<str> {
+        let priority = if self.admission.is_internal(route) { usual } else { priority };
+        let name = self.classes.name(route, usual, priority);
+        self.record_arrival(&name, now);
+        name
+    }
+
     /// Counts a request from a caller or the upstream.
     pub fn record_arrival(&mut self, route: &Arc<str>, now: Instant) {
         add(&mut self.arrived, route, 1.0, now);
@@ -57,6 +74,7 @@
     /// Recomputes the shares.
     pub fn plan(&mut self, demand: &Demand, priorities: &BTreeMap<Arc<str>, u8>, now: Instant) {
         self.admission.plan(demand, priorities, now);
+        self.classes.retain(|route| priorities.contains_key(route));
         self.planned_at = Some(now);
     }
 
@@ -85,9 +103,11 @@
 
 /// Shares below one, formatted for the log.
 pub fn format_shares(admission: &Admission, routes: &BTreeMap<Arc<str>, u8>) -> String {
-    let reduced = routes.keys().map(|route| (route, admission.share(route)));
-    let reduced: Vec<String> = reduced
-        .filter(|(_, share)| *share < 0.999)
+    let is_known =
+        |name: &str| routes.contains_key(name) || routes.contains_key(class::parse(name).0);
+    let reduced: Vec<String> = admission
+        .reduced()
+        .filter(|(name, _)| is_known(name))
         .map(|(route, share)| format!("{route}={share:.2}"))
         .collect();
     reduced.join(" ")
--- a/components/mesh/src/request/answer.rs
+++ b/components/mesh/src/request/answer.rs
@@ -127,14 +127,13 @@
 ) -> Response<Payload<P>> {
     let reason = refusal.reason.as_str();
     shared.metrics.calls.with_label_values(&[reason]).inc();
-    let route: Arc<str> = route.into();
     let (share, plan_age) = {
         let traffic = lock(&shared.traffic);
-        (traffic.admission.share(&route), traffic.plan_age(shared.now()))
+        (traffic.admission.least_share(route), traffic.plan_age(shared.now()))
     };
     shared.log(&Event::Refused {
         id: id.to_str().unwrap_or_default(),
-        route: &route,
+        route,
         reason,
         share,
         plan_ms: plan_age.as_millis() as u64,
--- a/components/mesh/src/request/call.rs
+++ b/components/mesh/src/request/call.rs
@@ -36,7 +36,7 @@
 /// Attributes of a root request that all calls of its tree inherit.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Root {
-    /// Route of the root request.
+    /// Class of the root request, named like its route where its priority is the route's.
     pub route: Arc<str>,
     /// Priority of the root request; 0 is the most urgent.
     pub priority: u8,
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -156,7 +156,7 @@
     if !shared.shutdown.allows(routed.call.deadline, shared.now()) {
         return Err(Refusal::new(RefusalReason::Stopping));
     }
-    if !lock(&shared.traffic).try_admit(&routed.route.name, routed.caller_timeout, now) {
+    if !lock(&shared.traffic).try_admit(&routed.call.root.route, routed.caller_timeout, now) {
         return Err(Refusal { reason: RefusalReason::Overload, wait: Duration::MAX });
     }
     Ok(())
--- a/components/mesh/src/request/routed.rs
+++ b/components/mesh/src/request/routed.rs
@@ -45,19 +45,19 @@
     let names = shared.platform.headers();
     let requested = call::parse_header(&parts.headers, &names.deadline).map(Duration::from_millis);
     let caller_timeout = requested.unwrap_or(route.timeout);
-    let internal = {
+    let priority = priority(&route, tenant.as_deref());
+    let (internal, class) = {
         let mut traffic = lock(&shared.traffic);
-        traffic.record_arrival(&route.name, now);
-        traffic.admission.is_internal(&route.name)
+        let class = traffic.classify(&route.name, route.priority, priority, now);
+        (traffic.admission.is_internal(&route.name), class)
     };
     let parent = if internal { find_parent(shared, &route, caller_timeout, now) } else { None };
     let (parent, root) = match parent {
         Some((key, root)) => (Some(key), root),
         None => {
-            let (name, target_time) = (route.name.clone(), now + route.target_latency);
+            let target_time = now + route.target_latency;
             let number = rand::random_range(0..budget::UNKNOWN);
-            let priority = priority(&route, tenant.as_deref());
-            (None, Root { route: name, priority, target_time, number })
+            (None, Root { route: class, priority, target_time, number })
         }
     };
     let service = pick_service(shared, &route);
