Mesh: keep the quotas of tenants across all nodes

Requests of a tenant with a quota need a token between identification and admission; the token is put back if the request surely didn't run. Leases travel with the exchanges with the delegate of the failure domain, requests for tokens are a message of their own. Without quotas the messages are as before.

--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -12,6 +12,7 @@
 pub mod limiter;
 pub mod metrics;
 pub mod node;
+pub mod quotas;
 pub mod relay;
 pub mod serve;
 pub mod settings;
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -175,6 +175,17 @@
         loads: String,
         version: u64,
     },
+    /// What this node may grant or use of the tenants' quotas has changed.
+    QuotaChanged {
+        /// Nodes that share the quotas.
+        nodes: usize,
+        /// The share that this node is entitled to.
+        share: f64,
+        /// The quota leader that it is leased to; none if this node uses it itself, or may not use it.
+        leader: Option<Arc<str>>,
+        /// Other nodes whose shares are leased to this one.
+        contributors: usize,
+    },
     Refused {
         id: &'a str,
         route: &'a str,
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -20,6 +20,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 
 use super::events::Event;
+use super::quotas;
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
 use super::traffic;
@@ -128,6 +129,7 @@
         self.repeated.clear();
         let Some(view) = View::new(shared, now) else { return Vec::new() };
         lock(&shared.aggregates).duties = view.duties();
+        quotas::update(shared, view.delegates(), now);
         sum_domain(shared, now);
         sum_region(shared, now);
         self.reader = targets::reader(shared, now);
--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use quarantine::{Crash, Fingerprint, SuspectUpdate};
+use quota::message::Notice;
 use serde::{Deserialize, Serialize};
 use units::NodeId;
 
@@ -92,6 +93,9 @@
     regions: Sums,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     suspects: Vec<Suspect>,
+    /// Quotas of tenants, if any tenant has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    quota: Option<Notice>,
     /// The sender's configuration, for a reader that is late.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub configuration: Option<String>,
@@ -218,6 +222,7 @@
         domains: sums.0,
         regions: sums.1,
         suspects: suspects.into_iter().map(Suspect::from).collect(),
+        quota: shared.quotas.notice(reader.node, shared.moment()),
         configuration: document.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok()),
     }
 }
@@ -300,6 +305,9 @@
     for (region, summary) in message.regions {
         apply_region(shared, &region, summary, &source, now);
     }
+    if let Some(notice) = &message.quota {
+        shared.quotas.receive(&source, notice, shared.moment());
+    }
     for suspect in message.suspects {
         suspects::merge(shared, &suspect.into(), &source);
     }
--- a/components/mesh/src/process/exchange/targets.rs
+++ b/components/mesh/src/process/exchange/targets.rs
@@ -97,6 +97,15 @@
         Some(Self { own, zones, regions, others })
     }
 
+    /// The delegate of this node's failure domain, and those of the others, of this region first.
+    pub fn delegates(&self) -> (Option<&Record>, Vec<&Record>) {
+        let own = self.zones.get(&self.own.zone);
+        let others = self.zones.iter().filter(|(zone, _)| **zone != self.own.zone);
+        let mut others: Vec<&Record> = others.map(|(_, record)| record).collect();
+        others.sort_by_key(|record| record.region != self.own.region);
+        (own, others)
+    }
+
     /// What this node sums up.
     pub fn duties(&self) -> Duties {
         let is_own = |delegate: Option<&Record>| {
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -43,6 +43,46 @@
     pub quarantined: IntGauge,
     /// Metrics of the upstream beside the node.
     pub upstream: UpstreamMetrics,
+    /// Metrics of the tenants' quotas.
+    pub quota: QuotaMetrics,
+}
+
+/// Metrics of the tenants' quotas.
+#[derive(Debug, Clone)]
+pub struct QuotaMetrics {
+    /// Requests that were refused for want of a token, by reason.
+    pub refusals: IntCounterVec,
+    /// Requests for tokens to other nodes, by outcome.
+    pub requests: IntCounterVec,
+    /// Tokens granted to other nodes.
+    pub granted: IntCounter,
+    /// Those of them that may still be used.
+    pub outstanding: IntGauge,
+    /// Share of all quotas that this node uses as a quota leader.
+    pub pool_share: Gauge,
+}
+
+impl QuotaMetrics {
+    fn new(registry: &MetricsRegistry) -> prometheus::Result<Self> {
+        Ok(Self {
+            refusals: registry.counters(
+                "quota_refusals_total",
+                "Requests refused for want of a token, by reason.",
+                &["reason"],
+            )?,
+            requests: registry.counters(
+                "quota_token_requests_total",
+                "Requests for tokens to other nodes, by outcome.",
+                &["outcome"],
+            )?,
+            granted: registry
+                .counter("quota_tokens_granted_total", "Tokens granted to other nodes.")?,
+            outstanding: registry
+                .gauge("quota_tokens_outstanding", "Granted tokens that may still be used.")?,
+            pool_share: registry
+                .float_gauge("quota_pool_share", "Share of all quotas that is used here.")?,
+        })
+    }
 }
 
 /// Metrics of the store, as this node sees it.
@@ -133,6 +173,7 @@
         let registry = MetricsRegistry::new();
         Ok(Self {
             upstream: UpstreamMetrics::new(&registry)?,
+            quota: QuotaMetrics::new(&registry)?,
             failed_exchanges: registry
                 .counter("exchanges_failed_total", "Exchanges with other nodes that failed.")?,
             calls: registry.counters(
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -145,6 +145,7 @@
         let load = shared.limiter.load(shared.now());
         shared.log(&Event::Stopping { running: load.running, waiting: load.waiting });
         shared.stopping.send_replace(true);
+        shared.quotas.stop(shared.moment());
         let limit = shared.settings.stop_timeout.saturating_sub(CLOSE_RESERVE);
         let now = shared.now();
         let last_answers = now + limit;
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -18,7 +18,7 @@
 
 use super::announced;
 use super::shared::Shared;
-use super::{exchange, relay};
+use super::{exchange, quotas, relay};
 use crate::connection::socket;
 use crate::platform::Platform;
 use crate::request::body::{self, Payload, ReadError};
@@ -136,6 +136,13 @@
                 None => Payload::empty(StatusCode::BAD_REQUEST),
             }
         }
+        Clients::Nodes if request.uri().path() == quotas::PATH => {
+            let body = read_message(&shared, request.into_body()).await;
+            match body.and_then(|body| quotas::answer(&shared, &body)) {
+                Some(answer) => Response::new(Payload::buffered(answer)),
+                None => Payload::empty(StatusCode::BAD_REQUEST),
+            }
+        }
         Clients::Nodes if request.uri().path() == relay::PATH => {
             let (parts, incoming) = request.into_parts();
             if let Some(revision) = relay::newer_revision(&shared, &parts.headers) {
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -15,6 +15,7 @@
 use super::follow::FollowState;
 use super::limiter::Limiter;
 use super::metrics::Metrics;
+use super::quotas::Quotas;
 use super::settings::NodeSettings;
 use super::shutdown::Shutdown;
 use super::traffic::Traffic;
@@ -91,6 +92,8 @@
     pub traffic: Mutex<Traffic>,
     /// Requests that were in flight when an upstream crashed.
     pub suspects: Mutex<SuspectTable>,
+    /// Quotas of tenants.
+    pub quotas: Quotas,
     /// Triggers an exchange with other nodes.
     pub exchange_now: Notify,
     /// Requests of callers and the upstream that have no answer yet.
@@ -123,19 +126,8 @@
     pub fn new(platform: P, settings: NodeSettings, sink: Sink) -> prometheus::Result<Self> {
         let now = platform.clock().now();
         let incarnation = millis(platform.clock().wall_time());
-        let own = Record {
-            node: settings.node.clone(),
-            incarnation,
-            serial: 1,
-            zone: settings.zone.clone(),
-            region: settings.region.clone(),
-            address: settings.listen.advertised,
-            service: settings.service.clone(),
-            state: UpstreamState::Unknown,
-            slots: 0,
-            saved_upstream: None,
-            departures: Vec::new(),
-        };
+        let own = first_record(&settings, incarnation);
+        let quotas = Quotas::new(&settings, Moment { monotonic: now, wall_ms: incarnation });
         Ok(Self {
             metrics: Metrics::new()?,
             sink,
@@ -156,6 +148,7 @@
             aggregates: Mutex::default(),
             traffic: Mutex::new(Traffic::new()),
             suspects: Mutex::new(SuspectTable::with_trial_spread(rand::random_range(0.0..1.0))),
+            quotas,
             exchange_now: Notify::new(),
             open_requests: AtomicU32::new(0),
             shutdown: Shutdown::default(),
@@ -266,6 +259,7 @@
             }
             Taken::Activated => {}
         }
+        self.quotas.configure(|| self.configuration(), self.moment());
         self.metrics.version.set(version as i64);
         let Origin { epoch, offset } = origin;
         let epoch = epoch.map(|epoch| epoch.0);
@@ -310,6 +304,7 @@
                 self.exchange_now.notify_one();
             }
             Merged::Superseded(incarnation) => {
+                self.quotas.heard_rival(self.moment());
                 if lock(&self.members).supersede(incarnation) {
                     self.exchange_now.notify_one();
                     self.record_outdated.notify_one();
@@ -408,6 +403,23 @@
     }
 }
 
+/// The record of a node whose process has just started.
+fn first_record(settings: &NodeSettings, incarnation: u64) -> Record {
+    Record {
+        node: settings.node.clone(),
+        incarnation,
+        serial: 1,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        address: settings.listen.advertised,
+        service: settings.service.clone(),
+        state: UpstreamState::Unknown,
+        slots: 0,
+        saved_upstream: None,
+        departures: Vec::new(),
+    }
+}
+
 /// Milliseconds since the epoch.
 fn millis(wall: SystemTime) -> u64 {
     wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
--- a/components/mesh/src/request/answer.rs
+++ b/components/mesh/src/request/answer.rs
@@ -128,7 +128,9 @@
     let reason = refusal.reason.as_str();
     shared.metrics.calls.with_label_values(&[reason]).inc();
     let route: Arc<str> = route.into();
-    let (share, plan_age) = {
+    let (share, plan_age) = if refusal.reason == RefusalReason::Quota {
+        shared.quotas.basis(shared.moment())
+    } else {
         let traffic = lock(&shared.traffic);
         (traffic.admission.share(&route), traffic.plan_age(shared.now()))
     };
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -6,10 +6,12 @@
 
 use http::{HeaderValue, Request, Response, StatusCode, request};
 use hyper::body::Incoming;
+use quota::Permit;
 
 use super::answer::{self, SHORT_RETRY_AFTER};
 use super::body::Payload;
 use super::call::RequestHead;
+use super::forward::Forwarded;
 use super::outcome::{Refusal, RefusalReason};
 use super::routed::{self, RoutedRequest, host};
 use super::{forward, identity, intake};
@@ -17,6 +19,7 @@
 use crate::decide::parents;
 use crate::platform::Platform;
 use crate::process::events::Event;
+use crate::process::quotas;
 use crate::process::shared::{Shared, lock};
 
 /// Time past its deadline from which an answer counts as late.
@@ -75,9 +78,12 @@
         Err(response) => return *response,
     };
     let _outstanding = OutstandingCall { shared: &shared, parent: routed.parent };
-    let response = match admit(&shared, &routed, started) {
-        Ok(()) => {
+    let response = match admit(&shared, &routed, started).await {
+        Ok(permit) => {
             let result = forward::run(&shared, &routed, &head, &body).await;
+            if matches!(result, Forwarded::Refused { .. }) {
+                put_back(&shared, &routed, permit);
+            }
             answer::respond(&shared, &routed, &head, result)
         }
         Err(refusal) => {
@@ -143,8 +149,34 @@
     });
 }
 
+/// Admits or refuses a request, by the quota of its tenant first.
+async fn admit<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    routed: &RoutedRequest,
+    started: Instant,
+) -> Result<Option<Permit>, Refusal> {
+    let permit = match &routed.tenant {
+        Some(tenant) => quotas::acquire(shared, tenant, routed.call.deadline).await?,
+        None => None,
+    };
+    match admit_root(shared, routed, started) {
+        Ok(()) => Ok(permit),
+        Err(refusal) => {
+            put_back(shared, routed, permit);
+            Err(refusal)
+        }
+    }
+}
+
+/// Puts back the token of a request that did not run and will not run.
+fn put_back<P: Platform>(shared: &Shared<P>, routed: &RoutedRequest, permit: Option<Permit>) {
+    if let (Some(tenant), Some(permit)) = (&routed.tenant, permit) {
+        shared.quotas.put_back(tenant, &permit, shared.moment());
+    }
+}
+
 /// Admits or refuses a request; calls made for a running request are always admitted.
-fn admit<P: Platform>(
+fn admit_root<P: Platform>(
     shared: &Shared<P>,
     routed: &RoutedRequest,
     now: Instant,
