--- a/components/mesh/src/request/answer.rs
+++ b/components/mesh/src/request/answer.rs
@@ -127,7 +127,9 @@
 ) -> Response<Payload<P>> {
     let reason = refusal.reason.as_str();
     shared.metrics.calls.with_label_values(&[reason]).inc();
-    let (share, plan_age) = {
+    let (share, plan_age) = if refusal.reason == RefusalReason::Quota {
+        shared.quotas.basis(shared.moment())
+    } else {
         let traffic = lock(&shared.traffic);
         (traffic.admission.least_share(route), traffic.plan_age(shared.now()))
     };
