--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -9,6 +9,7 @@
 pub mod demand;
 pub mod epoch;
 pub mod follow;
+pub mod locality;
 pub mod members;
 pub mod meter;
 pub mod notice;
--- a/components/mesh/src/decide/demand.rs
+++ b/components/mesh/src/decide/demand.rs
@@ -100,6 +100,14 @@
         ((load - idle) / (busy - idle)).clamp(0.0, 1.0) * (1.0 + backlog / used)
     }
 
+    /// The routes whose requests arrive at nodes beside upstreams of each service.
+    pub fn called_routes(&self) -> impl Iterator<Item = (&Arc<str>, &str)> {
+        self.arrivals.iter().flat_map(|(service, arrivals)| {
+            let called = arrivals.iter().filter(|(_, rate)| **rate >= CALLING_RATE);
+            called.map(move |(name, _)| (service, class::parse(name).0))
+        })
+    }
+
     /// Services whose upstreams call one of the given internal routes.
     pub fn calling_services(&self, internal: &BTreeSet<Arc<str>>) -> BTreeSet<Arc<str>> {
         let calls = |arrivals: &Rates| {
--- a/components/mesh/src/decide/select.rs
+++ b/components/mesh/src/decide/select.rs
@@ -14,6 +14,8 @@
 /// Cost of a node whose upstream is leaving: it is used only if no other accepts requests, and its guard answers how
 /// long to wait.
 const LEAVING_COST: Duration = Duration::from_secs(30);
+/// Cost of a node whose upstream's calls have to leave the region: more than that of sending the request to another one.
+const DETOUR_COST: Duration = Duration::from_millis(300);
 /// Random part of the costs, in microseconds, so that nodes of the same cost are used alike.
 const JITTER_US: std::ops::Range<u64> = 0..500;
 /// Nodes that are drawn. With two, slow upstreams get a fifth of the requests; more than three add little to the speed
@@ -37,6 +39,8 @@
     pub silent: bool,
     /// Whether its upstream is leaving.
     pub leaving: bool,
+    /// Whether calls of its upstream have to leave its region.
+    pub detour: bool,
 }
 
 struct Scored<'a, T> {
@@ -54,12 +58,13 @@
     let mut reported = false;
     let scored: Vec<Scored<'a, T>> = candidates
         .map(|candidate| {
-            let Candidate { peer, tier, silent, leaving, .. } = candidate;
+            let Candidate { peer, tier, silent, leaving, detour, .. } = candidate;
             let cost = match peer {
                 Some(peer) => peer.cost(tier, silent, now),
                 None => Peer::new(now).cost(tier, silent, now),
             };
             let cost = cost + if leaving { LEAVING_COST } else { Duration::ZERO };
+            let cost = cost + if detour { DETOUR_COST } else { Duration::ZERO };
             let cost = cost + Duration::from_micros(random.random_range(JITTER_US));
             let run_time = peer.and_then(|peer| peer.run_time(now));
             reported |= run_time.is_some();
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -10,6 +10,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod limiter;
+pub mod locality;
 pub mod metrics;
 pub mod node;
 pub mod quotas;
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -170,6 +170,11 @@
         #[serde(rename = "why")]
         reason: &'a str,
     },
+    /// Regions in which calls of upstreams have to leave the region have changed.
+    LocalityChanged {
+        /// `service=region,region` for each service whose upstreams make such calls.
+        incomplete: String,
+    },
     PlanChanged {
         shares: String,
         loads: String,
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -20,6 +20,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 
 use super::events::Event;
+use super::locality;
 use super::quotas;
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
@@ -343,6 +344,7 @@
     traffic.plan(&demand, &priorities, shared.now());
     let shares = traffic::format_shares(&traffic.admission, &priorities);
     drop(traffic);
+    locality::update(shared, &demand);
     if before != shares {
         let loads = traffic::format_loads(&demand);
         shared.log(&Event::PlanChanged { shares, loads, version: shared.version() });
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -25,6 +25,7 @@
 use crate::decide::aggregate::Aggregates;
 use crate::decide::budgets::Budgets;
 use crate::decide::choose::{Peer, Tier};
+use crate::decide::locality::Locality;
 use crate::decide::members::{Merged, Record, Table, UpstreamState};
 use crate::decide::parents::ParentTracker;
 use crate::decide::revision::{Origin, Revision};
@@ -85,6 +86,8 @@
     pub splits: Mutex<HashMap<Arc<str>, Split>>,
     /// Reports of the failure domain's nodes, and sums of failure domains and regions.
     pub aggregates: Mutex<Aggregates>,
+    /// Regions in which calls of a request have to leave the region.
+    pub locality: Mutex<Locality>,
     /// Request rates and admission shares.
     pub traffic: Mutex<Traffic>,
     /// Requests that were in flight when an upstream crashed.
@@ -143,6 +146,7 @@
             budgets: Mutex::new(Budgets::new(settings.retries)),
             splits: Mutex::default(),
             aggregates: Mutex::default(),
+            locality: Mutex::default(),
             traffic: Mutex::new(Traffic::new()),
             suspects: Mutex::new(SuspectTable::with_trial_spread(rand::random_range(0.0..1.0))),
             quotas,
@@ -335,6 +339,7 @@
         let now = self.now();
         let table = lock(&self.members);
         let peers = lock(&self.peers);
+        let locality = lock(&self.locality);
         let candidates = table.of_service(service, now).filter_map(|(member, silent)| {
             let record = &member.record;
             let usable = record.state != UpstreamState::Unknown && !tried.contains(&record.node);
@@ -344,6 +349,7 @@
                 tier: self.tier(record),
                 silent,
                 leaving: record.state == UpstreamState::Leaving,
+                detour: locality.leaves_region(service, &record.region),
             })
         });
         let (record, has_more) = select::select(candidates, now, &mut rand::rng())?;
--- a/components/mesh/tests/select.rs
+++ b/components/mesh/tests/select.rs
@@ -24,7 +24,7 @@
     let mut best: Option<(Duration, usize)> = None;
     let mut has_more = false;
     for candidate in candidates {
-        let Candidate { value, peer, tier, silent, leaving } = *candidate;
+        let Candidate { value, peer, tier, silent, leaving, .. } = *candidate;
         let cost = match peer {
             Some(peer) => peer.cost(tier, silent, now),
             None => Peer::new(now).cost(tier, silent, now),
@@ -78,6 +78,7 @@
                 tier: TIERS[random.random_range(0..3)],
                 silent: random.random_bool(0.1),
                 leaving: random.random_bool(0.1),
+                detour: false,
             })
             .collect();
         let later = now + Duration::from_millis(random.random_range(0..3_000));
@@ -106,6 +107,7 @@
             tier: *tier,
             silent: *silent,
             leaving: false,
+            detour: false,
         });
         chosen[select::select(candidates, now, &mut random).unwrap().0] += 1e-4;
     }
--- a/components/mesh/tests/uneven/mod.rs
+++ b/components/mesh/tests/uneven/mod.rs
@@ -275,6 +275,7 @@
             tier: Tier::Zone,
             silent: false,
             leaving: false,
+            detour: false,
         });
         let expected = |index: &usize| {
             let run_time = peers[*index].run_time(now).unwrap_or_default();
