Take only a status of the five classes for a response of an upstream

A status of 600 to 999 was passed on to callers, which no client has to understand (RFC 9110, section 15). The guard and the entry of `mesh` and of `node` now fail such a call as one that may have run (502); the entry does so too for what a node of an earlier version passes on.

--- a/components/mesh/src/request/call.rs
+++ b/components/mesh/src/request/call.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use http::header::{self, HeaderName};
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use units::ParseError;
 
 use crate::decide::budget::{self, Rank};
@@ -186,6 +186,12 @@
     pub id: HeaderValue,
 }
 
+/// Whether a status is that of a final response; one outside of the five classes (RFC 9110, section 15) is not, as no
+/// client has to understand it.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Removes hop-by-hop headers (RFC 9110, section 7.6.1) and those that only nodes set.
 pub fn strip_headers(headers: &mut HeaderMap) {
     if headers.contains_key(header::CONNECTION) {
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -303,7 +303,7 @@
         None => not_run && !connection.is_reused(),
     };
     let contradictory = not_run && parts.status.is_success();
-    let unusable = parts.status.is_informational() || contradictory;
+    let unusable = !call::is_final(parts.status) || contradictory;
     if !belongs || unusable || parts.headers.contains_key(header::CONTENT_ENCODING) {
         return Err(RunError::Mismatch);
     }
@@ -356,7 +356,7 @@
     let (reason, detail) = match error {
         RunError::NotSent(detail) => ("unsent", detail.as_str()),
         RunError::ConnectionLost(detail) => ("lost", detail.as_str()),
-        RunError::Mismatch => ("foreign", "the response belongs to another request"),
+        RunError::Mismatch => ("foreign", "the response belongs to another request, or is invalid"),
         RunError::Timeout => ("late", "no answer in time"),
         RunError::Stopped => ("stopped", "no answer before the node had to exit"),
     };
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -83,7 +83,15 @@
         None => !connection.is_reused(),
     };
     let outcome = call::parse_header(&answer.headers, &call::OUTCOME).filter(|_| belongs);
-    let Some(outcome) = outcome else { return mismatch(shared, node, belongs) };
+    let Some(outcome) = outcome else {
+        let reason =
+            if belongs { "the answer has no outcome" } else { "the answer is of another call" };
+        return mismatch(shared, node, reason);
+    };
+    // A node of an earlier version passes on what an upstream may not send.
+    if matches!(outcome, Header::Answer(_)) && !call::is_final(answer.status) {
+        return mismatch(shared, node, "the answer has no status of a response");
+    }
     record_answer(shared, node, &answer.headers, outcome, started);
     match outcome {
         Header::Answer(not_run) => {
@@ -108,10 +116,8 @@
     }
 }
 
-/// The outcome of an answer that is of another request, or of no node.
-fn mismatch<P: Platform>(shared: &Shared<P>, node: &Arc<str>, belongs: bool) -> Outcome<P> {
-    let reason =
-        if belongs { "the answer has no outcome" } else { "the answer is of another call" };
+/// The outcome of an answer that can't be of this call.
+fn mismatch<P: Platform>(shared: &Shared<P>, node: &Arc<str>, reason: &str) -> Outcome<P> {
     shared.log(&Event::PeerLost { peer: node, reason });
     Outcome::Failed(Fault::Mismatch)
 }
--- a/components/node/src/request/attempt.rs
+++ b/components/node/src/request/attempt.rs
@@ -147,6 +147,13 @@
         record_refusal(target, &refusal, report, now);
         return Err(attempt_error(refusal, feedback, &parts.headers));
     }
+    // A node of an earlier version passes on what an upstream may not send.
+    if !headers::is_final(parts.status) {
+        return Err(AttemptError {
+            feedback,
+            ..AttemptError::new(may_have_run(Reason::ConnectionLost))
+        });
+    }
     target.peer().record_answer(report, now.saturating_duration_since(started), now);
     headers::strip_node_only(&mut parts.headers);
     let resources = Resources { in_flight: Some(in_flight), ..Resources::default() };
--- a/components/node/src/request/headers.rs
+++ b/components/node/src/request/headers.rs
@@ -1,7 +1,7 @@
 //! Header names, and the removal of headers that must not be forwarded.
 
-use http::HeaderMap;
 use http::header::{self, HeaderName, HeaderValue};
+use http::{HeaderMap, StatusCode};
 
 /// Context of a call, between nodes.
 pub const CONTEXT: HeaderName = HeaderName::from_static("almondknot-context");
@@ -92,6 +92,12 @@
     }
 }
 
+/// Whether a status is that of a final response; one outside of the five classes (RFC 9110, section 15) is not, as no
+/// client has to understand it.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Value of this system's entry in the `baggage` header.
 pub fn baggage(headers: &HeaderMap) -> Option<&str> {
     let values = headers.get_all(&BAGGAGE).iter().filter_map(|value| value.to_str().ok());
--- a/components/node/src/request/local.rs
+++ b/components/node/src/request/local.rs
@@ -78,6 +78,9 @@
         }
         Err(_) => return Err(may_have_run_error(shared, token, Reason::Deadline)),
     };
+    if !headers::is_final(response.status()) {
+        return Err(may_have_run_error(shared, token, Reason::ConnectionLost));
+    }
     if !response.status().is_server_error() {
         shared.clear_suspect(context.fingerprint);
     }
