Refuse keys while the configuration is not confirmed, where it is configured so

With `revokeFailClosed`, a node that has had no confirmation of its configuration for `revoke` refuses requests that need a key with 503 (reason `unconfirmed`), as a key may have been revoked. A confirmation counts from when a read of the store was asked for; exchanges carry its age, which is only taken from answers to own requests. A node that hears of none for 0.6 of the bound checks the store by itself; the interval of these reads is at most 0.4 of the bound.

--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -23,6 +23,7 @@
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
 use super::traffic;
+use super::upstream::Moment;
 use crate::decide::aggregate::{self, Delegate, Reporter};
 use crate::decide::demand::Demand;
 use crate::decide::members::Record;
@@ -100,6 +101,7 @@
 struct Sent {
     table_revision: u64,
     configuration: bool,
+    at: Moment,
 }
 
 impl<P: Platform> Exchanger<P> {
@@ -143,7 +145,8 @@
         }
         let message = message::build(&self.shared, target.into(), cursor);
         let configuration = message.configuration.is_some();
-        let sent = Sent { table_revision: message.table_revision, configuration };
+        let at = self.shared.moment();
+        let sent = Sent { table_revision: message.table_revision, configuration, at };
         self.sent.insert(target.node.clone(), sent);
         serde_json::to_vec(&message).map_err(|err| err.to_string())
     }
@@ -180,6 +183,7 @@
         shared.kept.record_told(told);
         let restarted = before.sent > 0 && before.incarnation != answer.incarnation;
         let (version, digests) = (answer.version, answer.digests.clone());
+        let confirmed = answer.confirmed_ms.map(Duration::from_millis);
         let mut cursor = Cursor {
             incarnation: answer.incarnation,
             seen: answer.table_revision,
@@ -191,6 +195,11 @@
         };
         message::apply(shared, answer);
         shared.compared_version(version);
+        if let (Some(age), Some(sent)) = (confirmed, sent)
+            && version <= shared.version()
+        {
+            lock(&shared.confirmation).relayed(age, sent.at, shared.moment());
+        }
         let unequal = digests.map(|digests| lock(&shared.members).unequal_buckets(&digests));
         cursor.buckets = unequal.filter(|buckets| !buckets.is_empty() && !restarted);
         let incomplete = restarted || cursor.buckets.is_some();
--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -73,6 +73,9 @@
     /// Latest epoch of the store that the sender knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     store_epoch: Option<StoreEpoch>,
+    /// Age of the latest confirmation of the sender's configuration, in milliseconds.
+    #[serde(rename = "confirmed", default, skip_serializing_if = "Option::is_none")]
+    pub confirmed_ms: Option<u64>,
     zone: Arc<str>,
     region: Arc<str>,
     /// Digests of the sender's records, between nodes that have not exchanged before: only buckets that differ are sent.
@@ -180,6 +183,9 @@
     let own = &shared.settings;
     let now = shared.now();
     let same_region = *reader.region == own.region;
+    // Before the configuration: a read that has led to a newer one doesn't confirm this one.
+    let needed = shared.settings.revocation.after.is_some();
+    let confirmed = lock(&shared.confirmation).age(shared.moment()).filter(|_| needed);
     let configuration = shared.configuration();
     let version = configuration.as_ref().map_or(0, |configuration| configuration.version);
     let (revision, replaced) = shared.active.revisions().unzip();
@@ -209,6 +215,7 @@
         revision,
         replaced: replaced.unwrap_or_default(),
         store_epoch: *shared.store_epoch.borrow(),
+        confirmed_ms: confirmed.map(|age| age.as_millis() as u64 + 1),
         zone: own.zone.clone(),
         region: own.region.clone(),
         digests,
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -143,7 +143,9 @@
                 }
                 apply_read(&shared, &read, offset, epoch);
                 read_version = shared.version();
-                follower.succeeded(epoch, read.next_offset, shared.moment().since(asked));
+                let now = shared.moment();
+                follower.succeeded(epoch, read.next_offset, now.since(asked));
+                lock(&shared.confirmation).confirmed(asked, now);
                 if shared.configuration().is_none() {
                     follower.reset();
                     let _ = tokio::time::timeout(UNCONFIGURED_PAUSE, configured(&shared)).await;
@@ -225,7 +227,7 @@
     let mut silent = false;
     loop {
         let position = next_check(&shared).await;
-        let asked = shared.now();
+        let asked = shared.moment();
         let answer = shared.platform.check_configuration(position.offset, WATCH_TIMEOUT).await;
         epoch::observe_answer(&shared, &answer.epoch);
         let contradiction = position.contradiction(answer.epoch.valid(), &answer.result);
@@ -242,19 +244,23 @@
             Ok(_) | Err(StoreError::Truncated) => {
                 backoff.succeeded(&shared, "watch");
                 state.record_answer(shared.now());
+                if contradiction.is_none() {
+                    lock(&shared.confirmation).confirmed(asked, shared.moment());
+                }
             }
             Err(err) => {
                 if state.record_failure() {
                     // The next node of the failure domain reads from now on.
                     shared.exchange_now.notify_one();
                 }
-                backoff.failed(&shared, "watch", asked, &err).await;
+                backoff.failed(&shared, "watch", asked.monotonic, &err).await;
             }
         }
     }
 }
 
-/// Waits until the reader's next read is due, and returns the position of the poll that it checks.
+/// Waits until the reader's next read is due, and returns the position of the poll that it checks. Where keys need a
+/// confirmation, a node that hears of none checks its poll too.
 async fn next_check<P: Platform>(shared: &Shared<P>) -> Position {
     let state = &shared.follow;
     loop {
@@ -264,11 +270,16 @@
         };
         let now = shared.now();
         let age = state.answer_age(now).unwrap_or_default();
-        if let Some(left) = WATCH_INTERVAL.checked_sub(age).filter(|left| !left.is_zero()) {
+        let (interval, overdue) = {
+            let confirmation = lock(&shared.confirmation);
+            (confirmation.interval(), confirmation.is_overdue(shared.moment()))
+        };
+        let interval = interval.map_or(WATCH_INTERVAL, |interval| interval.min(WATCH_INTERVAL));
+        if let Some(left) = interval.checked_sub(age).filter(|left| !left.is_zero()) {
             tokio::time::sleep(left).await;
             continue;
         }
-        let active = targets::is_reader(shared, now);
+        let active = overdue || targets::is_reader(shared, now);
         if state.watching.swap(active, Ordering::Relaxed) != active {
             shared.log(&Event::StoreWatch { active });
         }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -10,6 +10,7 @@
 use units::Clock;
 
 use super::active::{ActiveConfiguration, Taken};
+use super::confirmation::Confirmation;
 use super::departures::Kept;
 use super::events::{Event, Sink};
 use super::follow::FollowState;
@@ -116,6 +117,8 @@
     pub follow: FollowState,
     /// The configuration in force.
     pub active: ActiveConfiguration,
+    /// How long ago the store last confirmed it.
+    pub confirmation: Mutex<Confirmation>,
 }
 
 impl<P: Platform> Shared<P> {
@@ -168,6 +171,7 @@
             kept: Kept::default(),
             follow: FollowState::default(),
             active: ActiveConfiguration::default(),
+            confirmation: Mutex::new(Confirmation::new(settings.revocation.after)),
             platform,
             settings,
         })
--- a/components/mesh/src/request/answer.rs
+++ b/components/mesh/src/request/answer.rs
@@ -11,7 +11,7 @@
 use super::forward::Forwarded;
 use super::identity::Unauthorized;
 use super::outcome::{Fault, Refusal, RefusalReason};
-use super::routed::{RoutedRequest, host};
+use super::routed::{self, RoutedRequest, host};
 use crate::configuration::{Configuration, Route};
 use crate::platform::Platform;
 use crate::process::events::Event;
@@ -62,6 +62,18 @@
     Payload::empty(StatusCode::UNAUTHORIZED)
 }
 
+/// Responds to a request whose key can't be trusted, as the configuration is not confirmed.
+pub fn unconfirmed<P: Platform>(
+    shared: &Shared<P>,
+    route: &Route,
+    parts: &request::Parts,
+    id: &HeaderValue,
+) -> Response<Payload<P>> {
+    let refusal = Refusal { reason: RefusalReason::Unconfirmed, wait: SHORT_RETRY_AFTER };
+    let retry_after = retry_after(refusal.wait, routed::caller_timeout(shared, route, parts));
+    refused(shared, id, &route.name, &refusal, retry_after, 0)
+}
+
 /// Delay before a refused caller should retry: the expected wait, with jitter so that callers don't return all at once.
 pub fn retry_after(wait: Duration, caller_timeout: Duration) -> Duration {
     let max = caller_timeout.mul_f64(MAX_RETRY_FRACTION);
@@ -76,6 +88,7 @@
             refusal.wait.max(interval.mul_f64(RETURN_FRACTION))
         }
         RefusalReason::Unconfigured
+        | RefusalReason::Unconfirmed
         | RefusalReason::Full
         | RefusalReason::RateLimited
         | RefusalReason::Quota
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -101,6 +101,9 @@
     let Some(route) = configuration.find_route(host(&parts), parts.uri.path()).cloned() else {
         return Err(Box::new(answer::unrouted(shared, configuration, &parts, &id)));
     };
+    if !identity::is_confirmed(shared, configuration, &route) {
+        return Err(Box::new(answer::unconfirmed(shared, &route, &parts, &id)));
+    }
     let names = shared.platform.headers();
     let tenant = match identity::identify(configuration, &route, &parts.headers, names) {
         Ok(tenant) => tenant,
--- a/components/mesh/src/request/identity.rs
+++ b/components/mesh/src/request/identity.rs
@@ -5,7 +5,8 @@
 use http::HeaderMap;
 
 use crate::configuration::{Configuration, Route, Tenant};
-use crate::platform::Headers;
+use crate::platform::{Headers, Platform};
+use crate::process::shared::{Shared, lock};
 
 /// A request that needs the key of a tenant and has none that is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +15,17 @@
     pub has_key: bool,
 }
 
+/// Whether keys of requests on a route may be accepted: a revoked one may still be known where the configuration was not
+/// confirmed for too long.
+pub fn is_confirmed<P: Platform>(
+    shared: &Shared<P>,
+    configuration: &Configuration,
+    route: &Route,
+) -> bool {
+    let needs_key = configuration.tenants().is_some() && !route.public;
+    !needs_key || lock(&shared.confirmation).is_valid(shared.moment())
+}
+
 /// Finds the tenant that sends a request; `None` if the route or the whole configuration needs none.
 pub fn identify(
     configuration: &Configuration,
--- a/components/mesh/src/request/outcome.rs
+++ b/components/mesh/src/request/outcome.rs
@@ -15,6 +15,8 @@
 pub enum RefusalReason {
     /// No configuration is active yet.
     Unconfigured,
+    /// The configuration is not confirmed, so that keys may have been revoked.
+    Unconfirmed,
     /// No upstream of the service is known or has announced itself.
     NoUpstream,
     /// The upstream is leaving.
@@ -38,8 +40,9 @@
 }
 
 impl RefusalReason {
-    const ALL: [(Self, &'static str); 11] = [
+    const ALL: [(Self, &'static str); 12] = [
         (Self::Unconfigured, "unconfigured"),
+        (Self::Unconfirmed, "unconfirmed"),
         (Self::NoUpstream, "no-upstream"),
         (Self::Leaving, "leaving"),
         (Self::Full, "full"),
--- a/components/mesh/src/request/routed.rs
+++ b/components/mesh/src/request/routed.rs
@@ -34,6 +34,17 @@
     named.or_else(|| parts.uri.host()).unwrap_or_default()
 }
 
+/// The caller's own timeout; that of the route if it names none.
+pub fn caller_timeout<P: Platform>(
+    shared: &Shared<P>,
+    route: &Route,
+    parts: &request::Parts,
+) -> Duration {
+    let names = shared.platform.headers();
+    let requested = call::parse_header(&parts.headers, &names.deadline).map(Duration::from_millis);
+    requested.unwrap_or(route.timeout)
+}
+
 /// Finds the parent and the service of a request that arrived at `now`.
 pub fn resolve<P: Platform>(
     shared: &Shared<P>,
@@ -42,9 +53,7 @@
     parts: &request::Parts,
     now: Instant,
 ) -> RoutedRequest {
-    let names = shared.platform.headers();
-    let requested = call::parse_header(&parts.headers, &names.deadline).map(Duration::from_millis);
-    let caller_timeout = requested.unwrap_or(route.timeout);
+    let caller_timeout = caller_timeout(shared, &route, parts);
     let internal = {
         let mut traffic = lock(&shared.traffic);
         traffic.record_arrival(&route.name, now);
