Divide what is admitted of a class fairly among its tenants

When a class was admitted in part, each tenant's requests had the same chance, so that one tenant's surge was at the expense of all.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -8,6 +8,7 @@
 pub mod class;
 pub mod demand;
 pub mod epoch;
+pub mod fairness;
 pub mod follow;
 pub mod members;
 pub mod meter;
--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -11,6 +11,7 @@
 
 use super::class;
 use super::demand::Demand;
+use super::fairness::Division;
 use super::members::Rates;
 
 /// Share of a service's slots that is allocated; the rest absorbs bursts.
@@ -51,6 +52,10 @@
     needs: RouteSlots,
     shares: Rates,
     credits: Rates,
+    /// Division among tenants of the classes that are admitted in part.
+    divisions: BTreeMap<Arc<str>, Division>,
+    /// Whether a service is so loaded that a part may soon have to be refused.
+    loaded: bool,
     /// Routes that upstreams call.
     internal: BTreeSet<Arc<str>>,
     /// Services whose upstreams make calls.
@@ -80,12 +85,23 @@
             self.allocate(&rest[..same], 1.0 - BASE_SHARE, &mut capacity);
             rest = &rest[same..];
         }
+        self.loaded = demand.is_loaded(IDLE_LOAD);
+        let reduced = demand.tenants.iter().filter(|(class, _)| !self.is_full(class));
+        self.divisions = reduced
+            .map(|(class, rates)| (class.clone(), Division::new(rates, self.share(class))))
+            .collect();
+    }
+
+    /// Whether a service is so loaded that a part of the requests may soon have to be refused.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded
     }
 
     /// Whether to admit a root request of the route. Shares are met exactly, not on average. A request whose caller was
-    /// refused and has come back may take the credit of later ones, so that it goes before fresh requests.
-    pub fn try_admit(&mut self, route: &Arc<str>, returning: bool) -> bool {
-        let share = self.share(route);
+    /// refused and has come back may take the credit of later ones, so that it goes before fresh requests. Those of
+    /// tenants that are admitted in full need none.
+    pub fn try_admit(&mut self, route: &Arc<str>, tenant: Option<&str>, returning: bool) -> bool {
+        let share = self.share_of(route, tenant);
         if share >= FULL_SHARE {
             return true;
         }
@@ -104,6 +120,12 @@
         self.share(route) >= FULL_SHARE
     }
 
+    /// Admitted share of a tenant's requests.
+    pub fn share_of(&self, class: &Arc<str>, tenant: Option<&str>) -> f64 {
+        let division = tenant.and_then(|tenant| Some((self.divisions.get(class)?, tenant)));
+        division.map_or_else(|| self.share(class), |(division, tenant)| division.share(tenant))
+    }
+
     /// Admitted share of a route.
     pub fn share(&self, route: &Arc<str>) -> f64 {
         self.shares.get(route).copied().unwrap_or(1.0)
--- a/components/mesh/src/decide/demand.rs
+++ b/components/mesh/src/decide/demand.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::class;
+use super::fairness::{self, TenantRates};
 use super::members::{Measurements, Rates, Record, UpstreamState};
 
 /// Average rate per service, in requests per second, from which a route is unlikely to be absent at one by chance.
@@ -32,6 +33,9 @@
     pub slots: Rates,
     /// Queued work in slot seconds, by service.
     pub backlog: Rates,
+    /// Root requests per second of the heaviest tenants, by class.
+    #[serde(default, skip_serializing_if = "TenantRates::is_empty")]
+    pub tenants: TenantRates,
 }
 
 impl Demand {
@@ -40,6 +44,7 @@
         add_rates(self.arrivals.entry(record.service.clone()).or_default(), &measurements.arrivals);
         add_rates(&mut self.admitted, &measurements.admitted);
         add_rates(self.used.entry(record.service.clone()).or_default(), &measurements.used);
+        self.add_tenants(&measurements.tenants);
         if record.state == UpstreamState::Ready {
             let load = measurements.load();
             let backlog = f64::from(load.waiting) * load.held_secs();
@@ -59,10 +64,18 @@
         add_rates(&mut self.admitted, &other.admitted);
         add_rates(&mut self.slots, &other.slots);
         add_rates(&mut self.backlog, &other.backlog);
+        self.add_tenants(&other.tenants);
     }
 
-    /// Rounds all figures to hundredths, as sums of rounded figures have many digits.
+    fn add_tenants(&mut self, tenants: &TenantRates) {
+        for (class, rates) in tenants {
+            add_rates(self.tenants.entry(class.clone()).or_default(), rates);
+        }
+    }
+
+    /// Rounds all figures to hundredths, as sums of rounded figures have many digits, and drops the lightest tenants.
     pub fn round(&mut self) {
+        fairness::trim(&mut self.tenants);
         let nested = self.arrivals.values_mut().chain(self.used.values_mut());
         let rates = nested.chain([&mut self.admitted, &mut self.slots, &mut self.backlog]);
         for rate in rates.flat_map(|rates| rates.values_mut()) {
@@ -72,7 +85,7 @@
 
     /// Whether all figures can be of a deployment.
     pub fn is_plausible(&self) -> bool {
-        let nested = self.arrivals.values().chain(self.used.values());
+        let nested = self.arrivals.values().chain(self.used.values()).chain(self.tenants.values());
         let mut rates = nested.chain([&self.admitted, &self.slots, &self.backlog]);
         rates.all(is_plausible)
     }
@@ -100,6 +113,14 @@
         ((load - idle) / (busy - idle)).clamp(0.0, 1.0) * (1.0 + backlog / used)
     }
 
+    /// Whether any service's load, as a share of its slots, is at least `load`.
+    pub fn is_loaded(&self, load: f64) -> bool {
+        self.slots.iter().any(|(service, slots)| {
+            let used: f64 = self.used.get(service).map_or(0.0, |used| used.values().sum());
+            used >= load * slots
+        })
+    }
+
     /// Services whose upstreams call one of the given internal routes.
     pub fn calling_services(&self, internal: &BTreeSet<Arc<str>>) -> BTreeSet<Arc<str>> {
         let calls = |arrivals: &Rates| {
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::{self, Xxh3};
 
 use super::demand;
+use super::fairness::TenantRates;
 use super::queue::Load;
 use crate::platform::StoreEpoch;
 
@@ -173,6 +174,9 @@
     /// Used slots of its upstream, by route of the root request.
     #[serde(default, skip_serializing_if = "Rates::is_empty")]
     pub used: Rates,
+    /// Root requests per second of the heaviest tenants, by class.
+    #[serde(default, skip_serializing_if = "TenantRates::is_empty")]
+    pub tenants: TenantRates,
     /// Whether its last read of the store failed.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub store_lost: bool,
@@ -200,7 +204,7 @@
         [running, waiting, limit].iter().all(|count| *count <= MAX_REQUESTS)
             && held_us <= MAX_HELD_US
             && self.rate.is_none_or(|(rate, tokens)| rate >= 0.0 && tokens.is_finite())
-            && rates.into_iter().all(demand::is_plausible)
+            && rates.into_iter().chain(self.tenants.values()).all(demand::is_plausible)
     }
 
     /// Requests beyond those for which a slot is surely free, as a share of the slots.
--- a/components/mesh/src/process/traffic.rs
+++ b/components/mesh/src/process/traffic.rs
@@ -7,6 +7,7 @@
 use crate::decide::admission::Admission;
 use crate::decide::class;
 use crate::decide::demand::Demand;
+use crate::decide::fairness::{TenantRates, Tenants};
 use crate::decide::members::{Measurements, Rates};
 use crate::decide::meter::DecayingRate;
 use crate::decide::queue::Load;
@@ -26,6 +27,7 @@
     arrived: DecayingRates,
     admitted: DecayingRates,
     used: DecayingRates,
+    tenants: Tenants,
     /// Recognises callers that were refused before.
     returning: Returning,
     /// When the shares were computed.
@@ -60,11 +62,22 @@
         add(&mut self.arrived, route, 1.0, now);
     }
 
+    /// Counts a root request of a tenant.
+    pub fn record_tenant(&mut self, class: &Arc<str>, tenant: &Arc<str>, now: Instant) {
+        self.tenants.record(class, tenant, now);
+    }
+
     /// Decides whether to admit a root request whose caller has so much time left.
-    pub fn try_admit(&mut self, route: &Arc<str>, left: Duration, now: Instant) -> bool {
+    pub fn try_admit(
+        &mut self,
+        route: &Arc<str>,
+        tenant: Option<&str>,
+        left: Duration,
+        now: Instant,
+    ) -> bool {
         let in_full = self.admission.is_full(route);
         let returning = self.returning.observe(route, left, in_full, now);
-        let admitted = self.admission.try_admit(route, returning);
+        let admitted = self.admission.try_admit(route, tenant, returning);
         if admitted {
             add(&mut self.admitted, route, 1.0, now);
         }
@@ -75,6 +88,7 @@
     pub fn plan(&mut self, demand: &Demand, priorities: &BTreeMap<Arc<str>, u8>, now: Instant) {
         self.admission.plan(demand, priorities, now);
         self.classes.retain(|route| priorities.contains_key(route));
+        self.tenants.sweep(now);
         self.planned_at = Some(now);
     }
 
@@ -88,6 +102,11 @@
         add(&mut self.used, route, held.as_secs_f64(), now);
     }
 
+    /// Rates of tenants, which are reported only when they may be needed soon.
+    fn tenant_rates(&self, now: Instant) -> TenantRates {
+        if self.admission.is_loaded() { self.tenants.report(now) } else { TenantRates::new() }
+    }
+
     /// The measurements of requests to send to other nodes.
     pub fn measurements(&self, load: Load, now: Instant) -> Measurements {
         Measurements {
@@ -96,6 +115,7 @@
             arrivals: rates(&self.arrived, now),
             admitted: rates(&self.admitted, now),
             used: rates(&self.used, now),
+            tenants: self.tenant_rates(now),
             ..Measurements::default()
         }
     }
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -156,7 +156,9 @@
     if !shared.shutdown.allows(routed.call.deadline, shared.now()) {
         return Err(Refusal::new(RefusalReason::Stopping));
     }
-    if !lock(&shared.traffic).try_admit(&routed.call.root.route, routed.caller_timeout, now) {
+    let tenant = routed.tenant.as_ref().map(|tenant| &*tenant.name);
+    let (class, left) = (&routed.call.root.route, routed.caller_timeout);
+    if !lock(&shared.traffic).try_admit(class, tenant, left, now) {
         return Err(Refusal { reason: RefusalReason::Overload, wait: Duration::MAX });
     }
     Ok(())
--- a/components/mesh/src/request/routed.rs
+++ b/components/mesh/src/request/routed.rs
@@ -49,7 +49,11 @@
     let (internal, class) = {
         let mut traffic = lock(&shared.traffic);
         let class = traffic.classify(&route.name, route.priority, priority, now);
-        (traffic.admission.is_internal(&route.name), class)
+        let internal = traffic.admission.is_internal(&route.name);
+        if let Some(tenant) = tenant.as_ref().filter(|_| !internal) {
+            traffic.record_tenant(&class, &tenant.name, now);
+        }
+        (internal, class)
     };
     let parent = if internal { find_parent(shared, &route, caller_timeout, now) } else { None };
     let (parent, root) = match parent {
--- a/components/mesh/tests/admission.rs
+++ b/components/mesh/tests/admission.rs
@@ -124,14 +124,15 @@
         );
     }
     let share = admission.share(&name("list"));
-    let admitted = (0..1_000).filter(|_| admission.try_admit(&name("list"), false)).count() as f64;
+    let admitted =
+        (0..1_000).filter(|_| admission.try_admit(&name("list"), None, false)).count() as f64;
     expect_that!(admitted / 1_000.0, near(share, 0.01));
 }
 
 #[gtest]
 fn an_unknown_route_is_admitted() {
     let mut admission = Admission::default();
-    expect_that!(admission.try_admit(&name("new"), false), eq(true));
+    expect_that!(admission.try_admit(&name("new"), None, false), eq(true));
 }
 
 /// Clients use all nodes alike; internal calls only arrive at nodes whose upstream makes them.
--- a/components/mesh/tests/fleet/mod.rs
+++ b/components/mesh/tests/fleet/mod.rs
@@ -286,7 +286,7 @@
             for number in (0..requests as u32).rev() {
                 let at = now - ROUND.mul_f64((f64::from(number) + 0.5) / requests);
                 traffic.record_arrival(&route, at);
-                traffic.try_admit(&route, Duration::from_secs(1), at);
+                traffic.try_admit(&route, None, Duration::from_secs(1), at);
             }
             if **service == *shared.settings.service {
                 for _ in 0..requests as usize * ROUTES.len() {
--- a/components/mesh/tests/returning.rs
+++ b/components/mesh/tests/returning.rs
@@ -99,7 +99,7 @@
                 if SURGE_MS.contains(&ms) {
                     counts.planned += node.admission.share(&self.route);
                 }
-                if node.try_admit(&self.route, left, now) {
+                if node.try_admit(&self.route, None, left, now) {
                     counts.admitted += u32::from(SURGE_MS.contains(&ms));
                     continue;
                 }
