--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::{self, Xxh3};
 
 use super::demand;
+use super::fairness::TenantRates;
 use super::queue::Load;
 use super::service_time::ServiceTime;
 use crate::platform::StoreEpoch;
@@ -178,6 +179,9 @@
     /// Used slots of its upstream, by route of the root request.
     #[serde(default, skip_serializing_if = "Rates::is_empty")]
     pub used: Rates,
+    /// Root requests per second of the heaviest tenants, by class.
+    #[serde(default, skip_serializing_if = "TenantRates::is_empty")]
+    pub tenants: TenantRates,
     /// Whether its last read of the store failed.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub store_lost: bool,
@@ -210,7 +214,7 @@
                 .service
                 .is_none_or(|(run, percent, age)| ServiceTime::checked(run, percent, age).is_some())
             && self.rate.is_none_or(|(rate, tokens)| rate >= 0.0 && tokens.is_finite())
-            && rates.into_iter().all(demand::is_plausible)
+            && rates.into_iter().chain(self.tenants.values()).all(demand::is_plausible)
     }
 
     /// Requests beyond those for which a slot is surely free, as a share of the slots.
