Slow start of upstreams that start or recover

An upstream that has just started was sent up to all its slots at once, and one that came back from a failing spell too. A window bounds the running requests now, in the guard's queue; its size follows from how fast the responses are. It begins for an incarnation that has just started (by its start time, its announced warm-up, or as it replaces another one and names no start), and after a spell of failures; not when only the node was restarted. Entries see the open slots in the reported load; the admission of root requests plans with all slots, so that a service whose upstreams all start at once isn't refused its requests. What waits for such a window and can go nowhere else is queued until its deadline.

Queue::release takes the time, as responses to requests from before the window must not count; tests/queue.rs passes it.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -17,4 +17,5 @@
 pub mod select;
 pub mod server_load;
 pub mod service_time;
+pub mod slow_start;
 pub mod split;
--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -118,7 +118,7 @@
     /// Records a load report that another node relayed. It may be outdated: a recent one of the node itself is kept.
     pub fn record_relayed_report(&mut self, load: Load, now: Instant) {
         if now.saturating_duration_since(self.reported_at) > REPORT_MAX_AGE
-            || self.report.limit == 0
+            || self.report.open_slots() == 0
         {
             let service_time = load.service_time.map(|time| ServiceTime {
                 age_ms: time.age_ms.saturating_add(RELAY_AGE_MS),
@@ -193,15 +193,15 @@
 
     /// Expected wait for a slot, if each is held for `held_secs`, and for the rate limit.
     fn expected_wait(&self, held_secs: f64, now: Instant) -> Duration {
-        if self.report.limit == 0 {
+        if self.report.open_slots() == 0 {
             return Duration::ZERO;
         }
         let fresh = now.saturating_duration_since(self.reported_at) < REPORT_MAX_AGE;
         let reported = if fresh { self.report.running + self.report.waiting } else { 0 };
         let sent_since =
             self.inflight.saturating_sub(if fresh { self.reported_inflight } else { 0 });
-        let excess = (reported + sent_since + 1).saturating_sub(self.report.limit);
-        let slot_interval = held_secs / f64::from(self.report.limit);
+        let excess = (reported + sent_since + 1).saturating_sub(self.report.open_slots());
+        let slot_interval = held_secs / f64::from(self.report.open_slots());
         let slot_wait = f64::from(excess) * slot_interval;
         let token_wait = self.report.rate.map_or(0.0, |rate| {
             let (waiting, tokens) = if fresh {
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -164,6 +164,10 @@
     /// Requests per second that may be sent to the upstream, and how many of them at once, while there is a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rate: Option<(f64, f64)>,
+    /// Requests that may run at once for now, while the upstream starts or recovers. The limit on running ones stays the
+    /// same then, as the admission of root requests plans with it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub window: Option<u32>,
     /// Average run time in microseconds, latest service-time factor in hundredths of its average, and its age in
     /// milliseconds, if the upstream reports that factor.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -191,13 +195,14 @@
         let tokens = self.rate.map_or(0.0, |(_, tokens)| tokens);
         let service_time =
             self.service.and_then(|(run, percent, age)| ServiceTime::checked(run, percent, age));
-        Load { running, waiting, limit, held_us, rate, tokens, service_time }
+        let window = self.window;
+        Load { running, waiting, limit, held_us, rate, tokens, window, service_time }
     }
 
     /// The load alone, without the rates by route.
     fn without_rates(&self) -> Self {
-        let Self { sequence, load, rate, service, store_lost, .. } = *self;
-        Self { sequence, load, rate, service, store_lost, ..Self::default() }
+        let Self { sequence, load, rate, window, service, store_lost, .. } = *self;
+        Self { sequence, load, rate, window, service, store_lost, ..Self::default() }
     }
 
     /// Whether all figures can be of a node.
@@ -234,6 +239,7 @@
             || due
                 && (self.busyness() > 0.0
                     || told.busyness() > BUSYNESS_STEP
+                    || self.window != told.window
                     || apart(held, told_held, HELD_FACTOR))
     }
 }
--- a/components/mesh/src/decide/queue.rs
+++ b/components/mesh/src/decide/queue.rs
@@ -9,6 +9,7 @@
 
 use super::rate_limit::{Answer, RateLimit};
 use super::service_time::{ServiceTime, ServiceTimes};
+use super::slow_start::{Cause, Failure, SlowStart, Transition};
 
 /// Share of the announced slots that is used: upstreams slow down when the last ones are taken.
 const USABLE_SHARE: f64 = 0.95;
@@ -17,6 +18,10 @@
 /// Assumed time that a slot is held, before the first measurement.
 const INITIAL_HELD_SECS: f64 = 0.05;
 
+/// Accepted wait from which a request that only waits for the window of a slow start is queued until its deadline: its
+/// sender has no other node to go to.
+const PATIENT_WAIT: Duration = Duration::from_millis(50);
+
 /// A request for a slot.
 #[derive(Debug, Clone, Copy)]
 pub struct SlotRequest {
@@ -69,6 +74,8 @@
     pub rate: Option<Rate>,
     /// Requests that may be sent at once within that limit.
     pub tokens: f64,
+    /// Requests that may run at once for now, if these are fewer, as the upstream starts or recovers.
+    pub window: Option<u32>,
     /// Run time, if the upstream reports its service-time factor.
     pub service_time: Option<ServiceTime>,
 }
@@ -79,7 +86,12 @@
         f64::from(self.held_us) / 1e6
     }
 
-    /// Slots that can be in use: all, or those that the rate limit fills.
+    /// Slots that may be in use for now.
+    pub fn open_slots(&self) -> u32 {
+        self.window.map_or(self.limit, |window| window.min(self.limit))
+    }
+
+    /// Slots that can be in use once the upstream has started: all, or those that the rate limit fills.
     pub fn usable_slots(&self) -> f64 {
         let rate_slots = self.rate.map_or(f64::INFINITY, |rate| rate.0 * self.held_secs());
         f64::from(self.limit).min(rate_slots)
@@ -94,6 +106,7 @@
     held_secs: f64,
     rate_limit: RateLimit,
     service_times: ServiceTimes,
+    slow_start: SlowStart,
     waiting: BTreeMap<Position, T>,
     next_number: u64,
 }
@@ -107,6 +120,7 @@
             held_secs: INITIAL_HELD_SECS,
             rate_limit: RateLimit::default(),
             service_times: ServiceTimes::default(),
+            slow_start: SlowStart::default(),
             waiting: BTreeMap::new(),
             next_number: 0,
         }
@@ -153,6 +167,21 @@
         self.service_times.latest(now)
     }
 
+    /// Begins a slow start.
+    pub fn begin_slow_start(&mut self, cause: Cause, now: Instant) {
+        self.slow_start.begin(cause, self.limit, now);
+    }
+
+    /// Records that a request failed at the upstream that was sent at `sent_at`.
+    pub fn record_failure(&mut self, failure: Failure, sent_at: Instant, now: Instant) {
+        self.slow_start.record_failure(failure, sent_at, now);
+    }
+
+    /// The latest beginning or end of a slow start that was not reported yet.
+    pub fn take_transition(&mut self) -> Option<Transition> {
+        self.slow_start.take_transition()
+    }
+
     /// The announced rate limit.
     pub fn announced_limit(&self) -> Option<Rate> {
         self.rate_limit.announced()
@@ -168,6 +197,7 @@
             held_us: (self.held_secs * 1e6) as u32,
             rate: rate.map(|(rate, _)| rate),
             tokens: rate.map_or(0.0, |(_, tokens)| tokens),
+            window: self.slow_start.limit(self.limit),
             service_time: self.service_times.report(now),
         }
     }
@@ -179,6 +209,7 @@
         now: Instant,
         make_value: impl FnOnce() -> T,
     ) -> Decision {
+        self.slow_start.update(self.limit, now);
         if self.running < self.slots() && self.waiting.is_empty() && self.rate_limit.try_take(now) {
             self.running += 1;
             return Decision::Run;
@@ -190,7 +221,9 @@
         };
         let (slot_wait, token_wait) = self.expected_waits(position, now);
         let wait = slot_wait.max(token_wait);
-        if wait > request.max_wait || now + wait >= request.deadline {
+        let patient = self.is_starting() && request.max_wait >= PATIENT_WAIT;
+        let limiting_wait = if patient { token_wait } else { wait };
+        if limiting_wait > request.max_wait || now + wait >= request.deadline {
             return Decision::Refuse { wait, rate_limited: token_wait > slot_wait };
         }
         self.next_number += 1;
@@ -199,10 +232,11 @@
     }
 
     /// Frees a slot; `complete` if `held` counts for the average.
-    pub fn release(&mut self, held: Duration, complete: bool) {
+    pub fn release(&mut self, held: Duration, complete: bool, now: Instant) {
         if complete {
             self.held_secs += (held.as_secs_f64() - self.held_secs) * HELD_WEIGHT;
             self.service_times.record_run(held);
+            self.slow_start.record_success(held, self.running, now);
         }
         self.running = self.running.saturating_sub(1);
     }
@@ -215,6 +249,7 @@
 
     /// Starts the next request if a slot is free and the rate limit allows it.
     pub fn grant_next(&mut self, now: Instant) -> Option<T> {
+        self.slow_start.update(self.limit, now);
         if self.running >= self.slots() || self.waiting.is_empty() {
             return None;
         }
@@ -238,7 +273,13 @@
 
     /// Slots that may be in use.
     fn slots(&self) -> u32 {
-        self.rate_limit.usable_slots(self.limit)
+        let slots = self.rate_limit.usable_slots(self.limit);
+        self.slow_start.limit(slots).unwrap_or(slots)
+    }
+
+    /// Whether requests wait for the window of an upstream that has just started.
+    fn is_starting(&self) -> bool {
+        self.slow_start.is_starting() && self.slow_start.limit(self.limit).is_some()
     }
 
     fn ahead(&self, position: Position) -> f64 {
@@ -249,8 +290,15 @@
     fn expected_waits(&self, position: Position, now: Instant) -> (Duration, Duration) {
         let place = self.ahead(position) + 1.0;
         let free = f64::from(self.slots().saturating_sub(self.running));
-        let slot_secs =
-            if place <= free { 0.0 } else { place * self.held_secs / f64::from(self.limit) };
+        let slot_secs = if place <= free {
+            0.0
+        } else if self.is_starting() {
+            let opening = self.slow_start.opening_wait(place, self.held_secs);
+            let beyond = (place + f64::from(self.running) - f64::from(self.limit)).max(0.0);
+            opening + beyond * self.held_secs / f64::from(self.limit)
+        } else {
+            place * self.held_secs / f64::from(self.limit)
+        };
         (Duration::from_secs_f64(slot_secs), self.token_wait(position, now))
     }
 }
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod shared;
 pub mod shutdown;
+pub mod slow_start;
 pub mod store;
 pub mod suspects;
 pub mod traffic;
--- a/components/mesh/src/process/announced.rs
+++ b/components/mesh/src/process/announced.rs
@@ -11,10 +11,12 @@
 use super::control;
 use super::events::Event;
 use super::shared::{Shared, lock};
+use super::slow_start;
 use crate::decide::members::UpstreamState;
 use crate::decide::notice::Notice;
 use crate::decide::rate_limit::{Announced, Answer};
 use crate::decide::server_load::ServerLoad;
+use crate::decide::slow_start::Failure;
 use crate::platform::{Announcement, HeaderFlag, Heartbeat, Platform};
 
 /// Records what an answer to a request announces that was sent at `sent_at`.
@@ -36,6 +38,9 @@
     let answer = Answer { announced, sent_at, ran };
     let (before, after) = shared.limiter.record_answer(answer, shared.now());
     rate_limit_changed(shared, &upstream.id, before, after, "answer");
+    if !ran {
+        slow_start::record_failure(shared, upstream, Failure::Failed, sent_at);
+    }
     if let Some(factor) = reported_load(shared, &head.headers).and_then(|load| load.factor) {
         shared.limiter.record_factor(factor, shared.now());
     }
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -11,7 +11,7 @@
 use super::events::Event;
 use super::shared::{Shared, lock, state_name};
 use super::upstream::Change;
-use super::{announced, departures};
+use super::{announced, departures, slow_start};
 use crate::decide::members::UpstreamState;
 use crate::platform::{Announcement, Heartbeat, Platform};
 
@@ -74,14 +74,19 @@
 /// Applies an announcement that came directly from the upstream or with one of its answers.
 pub fn announce<P: Platform>(shared: &Shared<P>, announcement: Announcement, from: &str) {
     let now = shared.moment();
-    let (change, reported) = {
+    let (change, replaced, reported) = {
         let mut upstream = lock(&shared.upstream);
+        let replaced = upstream.last_heartbeat().is_some();
         let change = upstream.apply(announcement, now);
         let heartbeat = upstream.last_heartbeat().cloned();
-        (change, heartbeat.map(|heartbeat| (heartbeat, upstream.state())))
+        (change, replaced, heartbeat.map(|heartbeat| (heartbeat, upstream.state())))
     };
     if let (Change::Started | Change::Updated, Some((heartbeat, state))) = (change, reported) {
-        upstream_changed(shared, &heartbeat, state, change == Change::Started, from);
+        let started = change == Change::Started;
+        upstream_changed(shared, &heartbeat, state, started, from);
+        if started {
+            slow_start::upstream_started(shared, &heartbeat, replaced);
+        }
     }
 }
 
@@ -122,6 +127,11 @@
     drop(suspects);
     shared.metrics.upstream.running.set(i64::from(load.running));
     shared.metrics.upstream.waiting.set(i64::from(load.waiting));
+    shared.metrics.upstream.window.set(i64::from(load.open_slots()));
+    let factor = shared.limiter.latest_factor(now);
+    shared.metrics.upstream.factor.set(factor.map_or(f64::NAN, |(factor, _)| factor));
+    let age = factor.map_or(f64::INFINITY, |(_, age)| age.as_secs_f64());
+    shared.metrics.upstream.factor_age.set(age);
     match shared.metrics.text() {
         Ok(text) => Response::new(Full::new(text.into())),
         Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, "metrics can't be written"),
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -147,6 +147,18 @@
         after: Option<f64>,
         from: &'a str,
     },
+    /// The slots in use of an upstream that starts or recovers are limited, or no longer are.
+    SlowStartChanged {
+        upstream: &'a str,
+        active: bool,
+        #[serde(rename = "why")]
+        reason: &'a str,
+        /// Slots that may be in use now, and all.
+        window: u32,
+        limit: u32,
+        /// Time from the beginning to the end.
+        after_ms: Option<u64>,
+    },
     AnnouncementRefused {
         #[serde(rename = "why")]
         reason: &'a str,
--- a/components/mesh/src/process/limiter.rs
+++ b/components/mesh/src/process/limiter.rs
@@ -8,6 +8,7 @@
 
 use crate::decide::queue::{Decision, Load, Position, Queue, SlotRequest};
 use crate::decide::rate_limit::Answer;
+use crate::decide::slow_start::{Cause, Failure, Transition};
 
 /// Shortest pause of a queued request before it asks for a token again.
 const MIN_TOKEN_PAUSE: Duration = Duration::from_millis(1);
@@ -98,6 +99,21 @@
         self.lock().latest_factor(now)
     }
 
+    /// Begins a slow start.
+    pub fn begin_slow_start(&self, cause: Cause, now: Instant) {
+        self.lock().begin_slow_start(cause, now);
+    }
+
+    /// Records that a request failed at the upstream that was sent at `sent_at`.
+    pub fn record_failure(&self, failure: Failure, sent_at: Instant, now: Instant) {
+        self.lock().record_failure(failure, sent_at, now);
+    }
+
+    /// The latest beginning or end of a slow start that was not reported yet.
+    pub fn take_transition(&self) -> Option<Transition> {
+        self.lock().take_transition()
+    }
+
     /// The announced rate limit.
     pub fn announced_limit(&self) -> Option<Rate> {
         self.lock().announced_limit()
@@ -123,7 +139,7 @@
 
     /// Releases a slot that was held for `held`; `complete` if the call ran normally, so that the time is typical.
     pub fn release(&self, held: Duration, complete: bool, now: Instant) {
-        self.lock().release(held, complete);
+        self.lock().release(held, complete, now);
         self.grant_waiting(now);
     }
 
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -99,6 +99,12 @@
     pub running: IntGauge,
     /// Requests waiting for the upstream.
     pub waiting: IntGauge,
+    /// Requests that may run at the upstream at once for now.
+    pub window: IntGauge,
+    /// Latest service-time factor that the upstream reported; not a number if none was.
+    pub factor: Gauge,
+    /// Age of that factor, in seconds; infinite if none was reported.
+    pub factor_age: Gauge,
     /// Requests sent to the upstream.
     pub requests: IntCounter,
     /// Requests per second that the upstream accepts; infinite without a limit.
@@ -115,6 +121,18 @@
         Ok(Self {
             running: registry.gauge("upstream_running", "Requests that run at the upstream.")?,
             waiting: registry.gauge("upstream_waiting", "Requests that wait for the upstream.")?,
+            window: registry.gauge(
+                "upstream_window",
+                "Requests that may run at the upstream at once for now.",
+            )?,
+            factor: registry.float_gauge(
+                "upstream_service_factor",
+                "Latest service-time factor that the upstream reported, 1 as usual.",
+            )?,
+            factor_age: registry.float_gauge(
+                "upstream_service_factor_age_seconds",
+                "Time since the upstream reported its service-time factor.",
+            )?,
             requests: registry
                 .counter("upstream_requests_total", "Requests sent to the upstream.")?,
             rate_limit,
--- a/components/mesh/src/process/traffic.rs
+++ b/components/mesh/src/process/traffic.rs
@@ -70,6 +70,7 @@
         Measurements {
             load: (load.running, load.waiting, load.limit, load.held_us),
             rate: load.rate.map(|rate| (rate.0, load.tokens)),
+            window: load.window,
             service: load.service_time.map(|time| (time.run_us, time.percent, time.age_ms)),
             arrivals: rates(&self.arrived, now),
             admitted: rates(&self.admitted, now),
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -18,11 +18,12 @@
 use crate::decide::budget::Budget;
 use crate::decide::parents;
 use crate::decide::queue::SlotRequest;
+use crate::decide::slow_start::Failure;
 use crate::platform::{Heartbeat, Platform};
 use crate::process::events::Event;
 use crate::process::limiter::Acquire;
 use crate::process::shared::{Shared, lock};
-use crate::process::{announced, suspects};
+use crate::process::{announced, slow_start, suspects};
 
 /// Additional wait after the deadline for the upstream's own timeout response.
 const RESPONSE_GRACE: Duration = Duration::from_millis(40);
@@ -114,6 +115,7 @@
             self.shared.metrics.slot_held.observe(held.as_secs_f64());
         }
         self.shared.limiter.release(held, self.complete, now);
+        slow_start::log_transition(&self.shared);
     }
 }
 
@@ -257,7 +259,7 @@
         reason: reason.as_str(),
         running: load.running,
         waiting: load.waiting,
-        limit: load.limit,
+        limit: load.open_slots(),
         rate: load.rate.map(|rate| rate.0),
         wait_ms: wait.as_millis() as u64,
     });
@@ -353,12 +355,12 @@
     error: &RunError,
     started: Instant,
 ) -> Outcome<P> {
-    let (reason, detail) = match error {
-        RunError::NotSent(detail) => ("unsent", detail.as_str()),
-        RunError::ConnectionLost(detail) => ("lost", detail.as_str()),
-        RunError::Mismatch => ("foreign", "the response belongs to another request"),
-        RunError::Timeout => ("late", "no answer in time"),
-        RunError::Stopped => ("stopped", "no answer before the node had to exit"),
+    let (reason, failure, detail) = match error {
+        RunError::NotSent(detail) => ("unsent", Some(Failure::Lost), detail.as_str()),
+        RunError::ConnectionLost(detail) => ("lost", Some(Failure::Lost), detail.as_str()),
+        RunError::Mismatch => ("foreign", None, "the response belongs to another request"),
+        RunError::Timeout => ("late", Some(Failure::Failed), "no answer in time"),
+        RunError::Stopped => ("stopped", None, "no answer before the node had to exit"),
     };
     shared.log(&Event::UpstreamFailed {
         id: head.id.to_str().unwrap_or_default(),
@@ -367,6 +369,9 @@
         after_ms: shared.now().saturating_duration_since(started).as_millis() as u64,
     });
     shared.metrics.guard_errors.with_label_values(&[reason]).inc();
+    if let Some(failure) = failure {
+        slow_start::record_failure(shared, upstream, failure, started);
+    }
     match error {
         RunError::NotSent(_) => {
             shared.upstream_pool.close_idle(shared.settings.upstream);
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -224,7 +224,9 @@
 
 impl std::fmt::Display for LoadReport {
     fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let Load { running, waiting, limit, held_us: held, rate, tokens, service_time } = self.load;
+        let Load { running, waiting, held_us: held, rate, tokens, service_time, .. } = self.load;
+        // Entries need only the slots that are open, and nodes of earlier versions know no others.
+        let limit = self.load.open_slots();
         write!(out, "{running}/{waiting}/{limit}/{held}/{}", self.guard_time.as_micros())?;
         match (rate, service_time) {
             (Some(rate), _) => write!(out, "/{rate}/{tokens:.2}")?,
@@ -253,7 +255,8 @@
             (Some(run), Some(percent), Some(age)) => ServiceTime::checked(run, percent, age),
             _ => None,
         };
-        let load = Load { running, waiting, limit, held_us, rate, tokens, service_time };
+        let window = None;
+        let load = Load { running, waiting, limit, held_us, rate, tokens, window, service_time };
         Ok(Self { load, guard_time })
     }
 }
--- a/components/mesh/tests/queue.rs
+++ b/components/mesh/tests/queue.rs
@@ -10,7 +10,7 @@
 
 /// Frees a slot; the request that takes it.
 fn release<T>(queue: &mut Queue<T>, held: Duration, now: Instant) -> Option<T> {
-    queue.release(held, true);
+    queue.release(held, true, now);
     queue.grant_next(now)
 }
 
--- a/components/mesh/tests/server_load.rs
+++ b/components/mesh/tests/server_load.rs
@@ -134,11 +134,11 @@
 fn a_queue_reports_a_service_time_once_it_knows_one() {
     let now = Instant::now();
     let mut queue: Queue<()> = Queue::new();
-    queue.release(200 * MS, true);
+    queue.release(200 * MS, true, now);
     expect_that!(queue.load(now).service_time, none(), "no factor was reported");
     queue.record_factor(1.0, now);
     expect_that!(queue.load(now).service_time, none(), "nothing has run since");
-    queue.release(200 * MS, true);
+    queue.release(200 * MS, true, now);
     expect_that!(queue.load(now).service_time, eq(ServiceTime::checked(200_000, 100, 0)));
     queue.reset_service_times();
     expect_that!(queue.load(now).service_time, none(), "another incarnation has started");
--- a/components/mesh/tests/uneven/mod.rs
+++ b/components/mesh/tests/uneven/mod.rs
@@ -249,7 +249,7 @@
         self.peers[entry][upstream].record_answer(now);
         self.peers[entry][upstream].record_ended();
         let queue = &mut self.upstreams[upstream].queue;
-        queue.release(Duration::from_micros(micros - since), true);
+        queue.release(Duration::from_micros(micros - since), true, now);
         if let Some(next) = queue.grant_next(now) {
             self.start_request(upstream, next, micros);
         }
