--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -24,4 +24,5 @@
 pub mod server_load;
 pub mod service_time;
 pub mod shedding;
+pub mod slow_start;
 pub mod split;
