Bound what clients may take of a node: bodies, connections, heads

Cause: many large bodies at once, whole, in pieces or in chunks, took a process over its memory; connections with a part of a head took all of its descriptors (tests/hostile.rs). Bodies were collected frame by frame and copied once more into one piece, each tiny chunk cost a frame, and nothing bounded all bodies together.

Change: bodies are copied into blocks of at most 64 KiB as they arrive (bodies::RequestBody, which the pools send in place of Full<Bytes>); a byte budget from memoryMb, with a reserve for small bodies; decide::bodies decides who waits and who is discarded. Connections of clients are bounded by maxFds, heads by headerTimeout after their first byte, the read buffer by maxHeaderBytes, and the receive buffer of the kernel by 64 KiB. What carries the header of a call is a call whatever its path; headers of nodes are removed by their prefix, and the id stays if it is listed in Connection.

--- a/components/mesh/src/connection/pool.rs
+++ b/components/mesh/src/connection/pool.rs
@@ -9,9 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -19,6 +17,7 @@
 use tokio::sync::Notify;
 
 use super::socket;
+use crate::bodies::RequestBody;
 
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
 /// Most interim responses (1xx) to one request; a server that sends them without end would keep the node's core busy.
@@ -39,7 +38,7 @@
     }
 }
 
-type Sender = http1::SendRequest<Full<Bytes>>;
+type Sender = http1::SendRequest<RequestBody>;
 
 struct Idle {
     sender: Sender,
@@ -105,7 +104,7 @@
     pub async fn send(
         self: &Arc<Self>,
         to: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<RequestBody>,
         max_idle: Duration,
         now: Instant,
     ) -> Result<(Response<Incoming>, PooledConnection), SendError> {
@@ -184,7 +183,7 @@
 }
 
 /// Counts the interim responses to a request; notifies when there are too many.
-fn limit_interim_responses(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+fn limit_interim_responses(request: &mut Request<RequestBody>) -> Arc<Notify> {
     let excess = Arc::new(Notify::new());
     let (notify, count) = (excess.clone(), AtomicU32::new(0));
     hyper::ext::on_informational(request, move |_| {
--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -2,8 +2,10 @@
 
 pub mod admission;
 pub mod aggregate;
+pub mod bodies;
 pub mod budget;
 pub mod choose;
+pub mod clients;
 pub mod demand;
 pub mod epoch;
 pub mod follow;
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -3,6 +3,7 @@
 pub mod active;
 pub mod announced;
 pub mod backoff;
+pub mod clients;
 pub mod control;
 pub mod departures;
 pub mod epoch;
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -121,6 +121,7 @@
     drop(suspects);
     shared.metrics.upstream.running.set(i64::from(load.running));
     shared.metrics.upstream.waiting.set(i64::from(load.waiting));
+    shared.metrics.clients.record(shared.clients.count(), shared.bodies.usage());
     match shared.metrics.text() {
         Ok(text) => Response::new(Full::new(text.into())),
         Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, "metrics can't be written"),
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -151,6 +151,13 @@
         #[serde(rename = "why")]
         reason: &'a str,
     },
+    BodyBudgetReached {
+        /// Bytes that request bodies may take, and that they take.
+        size: u64,
+        used: u64,
+        waiting: usize,
+        discarded: u64,
+    },
     MemberChanged {
         member: &'a str,
         #[serde(rename = "life")]
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -17,12 +17,13 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 
 use super::events::Event;
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
 use super::traffic;
+use crate::bodies::RequestBody;
 use crate::decide::aggregate::{self, Delegate, Reporter};
 use crate::decide::demand::Demand;
 use crate::decide::members::Record;
@@ -233,7 +234,7 @@
 ) -> Result<Bytes, String> {
     let request = Request::post(PATH)
         .header(http::header::HOST, target.address.to_string())
-        .body(Full::new(Bytes::from(body)))
+        .body(RequestBody::from(body))
         .map_err(|err| err.to_string())?;
     let now = shared.now();
     let sent = shared.peer_pool.send(target.address, request, PEER_MAX_IDLE, now).await;
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of the node.
 
+use crate::decide::bodies::Usage;
 use board::MetricsRegistry;
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec, IntGauge};
 
@@ -19,6 +20,10 @@
     pub late_answers: IntCounter,
     /// Requests whose body has not arrived yet.
     pub incoming_bodies: IntGauge,
+    /// Metrics of what clients may take of the node.
+    pub clients: ClientMetrics,
+    /// Connections of clients that were refused, or closed for others.
+    pub refused_connections: IntCounter,
     /// Configurations that were refused.
     pub refused_configurations: IntCounter,
     /// Requests that were sent again, by reason.
@@ -92,6 +97,48 @@
     }
 }
 
+/// Metrics of what clients may take of the node.
+#[derive(Debug, Clone)]
+pub struct ClientMetrics {
+    /// Open connections.
+    pub connections: IntGauge,
+    /// Bytes that request bodies may take; 0 if they are not limited.
+    pub budget_size: IntGauge,
+    /// Bytes that they take.
+    pub budget_used: IntGauge,
+    /// Bodies that wait for bytes.
+    pub budget_waiting: IntGauge,
+    /// Bodies that were discarded since the start.
+    pub budget_discarded: IntGauge,
+}
+
+impl ClientMetrics {
+    fn new(registry: &MetricsRegistry) -> prometheus::Result<Self> {
+        Ok(Self {
+            connections: registry.gauge("client_connections", "Open connections of clients.")?,
+            budget_size: registry.gauge(
+                "body_budget_bytes",
+                "Bytes that request bodies may take; 0 if not limited.",
+            )?,
+            budget_used: registry
+                .gauge("body_budget_used_bytes", "Bytes that request bodies take.")?,
+            budget_waiting: registry
+                .gauge("body_budget_waiting", "Request bodies that wait for bytes.")?,
+            budget_discarded: registry
+                .gauge("body_budget_discarded", "Request bodies discarded since the start.")?,
+        })
+    }
+
+    /// Sets the gauges.
+    pub fn record(&self, connections: usize, usage: Usage) {
+        self.connections.set(connections as i64);
+        self.budget_size.set(usage.size.unwrap_or_default() as i64);
+        self.budget_used.set(usage.used as i64);
+        self.budget_waiting.set(usage.waiting as i64);
+        self.budget_discarded.set(usage.discarded as i64);
+    }
+}
+
 /// Metrics of the upstream beside the node.
 #[derive(Debug, Clone)]
 pub struct UpstreamMetrics {
@@ -149,6 +196,11 @@
                 .counter("answers_late_total", "Answers well after the timeout of the request.")?,
             incoming_bodies: registry
                 .gauge("incoming_bodies", "Requests whose body has not arrived yet.")?,
+            clients: ClientMetrics::new(&registry)?,
+            refused_connections: registry.counter(
+                "client_connections_refused_total",
+                "Connections of clients that were refused, or closed for others.",
+            )?,
             refused_configurations: registry
                 .counter("configurations_refused_total", "Configurations that were refused.")?,
             retries: registry.counters("retries_total", "Requests sent once more.", &["reason"])?,
--- a/components/mesh/src/process/relay.rs
+++ b/components/mesh/src/process/relay.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 
 use super::events::Event;
 use super::exchange::targets;
 use super::shared::{Shared, lock};
+use crate::bodies::RequestBody;
 use crate::configuration::Configuration;
 use crate::decide::members::Record;
 use crate::decide::revision::Revision;
@@ -76,7 +77,7 @@
         .header(http::header::HOST, target.address.to_string())
         .header(SENDER, &*shared.settings.node)
         .header(REVISION, revision.to_string())
-        .body(Full::new(configuration.source.clone()))
+        .body(RequestBody::from(configuration.source.clone()))
         .map_err(|err| err.to_string())?;
     let sent = shared.peer_pool.send(target.address, request, PEER_MAX_IDLE, shared.now()).await;
     let (response, connection) = sent.map_err(|err| err.to_string())?;
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -16,16 +16,19 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::announced;
+use super::clients::ClientStream;
 use super::shared::Shared;
-use super::{exchange, relay};
+use super::{announced, exchange, relay};
+use crate::bodies::{Budget, RequestBody};
 use crate::connection::socket;
+use crate::decide::clients::{Phase, max_connections};
 use crate::platform::Platform;
-use crate::request::body::{self, Payload, ReadError};
+use crate::request::body::Payload;
 use crate::request::call::{self, Header, RequestHead};
 use crate::request::outcome::{self, Outcome, Refusal, RefusalReason};
 use crate::request::peer::LoadReport;
-use crate::request::{entry, guard};
+use crate::request::received::{self, Bounds, ReadError};
+use crate::request::{entry, guard, intake};
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -34,8 +37,21 @@
 /// Shortest idle timeout of a caller's connection, even if a shorter one is configured: a new connection costs callers
 /// more than an idle one.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Limits on request heads while there is no configuration.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Smallest buffer that hyper accepts for a connection.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Part of the buffer besides the largest head: hyper refuses a head that fills the buffer, and one may be preceded by
+/// empty lines.
+const HEAD_MARGIN_BYTES: usize = 1 << 10;
+/// Receive buffer of a client's connection, so that a thousand of them take a bounded part of the memory. Smaller ones
+/// make loopback slow, whose segments are of this size.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Time in which the body of a message from another node has to arrive.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which the rest of a body is read that was discarded, so that the entry gets the refusal.
+const DRAIN_TIME: Duration = Duration::from_secs(1);
 /// Largest body of a call or message from another node.
 const MAX_BODY_BYTES: usize = 80 << 20;
 
@@ -64,13 +80,24 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
+    let mut accepted_connections = 0;
+    let limit = shared.settings.descriptors.map(max_connections);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(shared.clone(), clients, stream, &graceful),
+            Ok((stream, _)) => {
+                accepted_connections += 1;
+                match clients {
+                    Clients::Callers => {
+                        serve_client(shared.clone(), accepted_connections, stream, &graceful);
+                        shared.clients.settle(limit).await;
+                    }
+                    Clients::Nodes => serve_node(shared.clone(), stream, &graceful),
+                }
+            }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
@@ -78,56 +105,92 @@
     graceful.shutdown().await;
 }
 
-fn serve_connection<P: Platform>(
+fn serve_node<P: Platform>(shared: Arc<Shared<P>>, stream: TcpStream, graceful: &GracefulShutdown) {
+    // Fails only on a closed connection, which the first read reports.
+    let _ = socket::set_options(&stream);
+    let state = shared.clone();
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(handle_message(shared, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(None);
+    let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::spawn(async move {
+        // A failed connection is not reported: each request on it has its own outcome.
+        let _ = state.shutdown.until_closed(connection).await;
+    });
+}
+
+/// Serves a connection of a caller or the upstream; `id` is different for each of them.
+fn serve_client<P: Platform>(
     shared: Arc<Shared<P>>,
-    clients: Clients,
+    id: u64,
     stream: TcpStream,
     graceful: &GracefulShutdown,
 ) {
-    // Fails only on a closed connection, which the first read reports.
-    let _ = match clients {
-        Clients::Callers => stream.set_nodelay(true),
-        Clients::Nodes => socket::set_options(&stream),
+    let limit = shared.settings.descriptors.map(max_connections);
+    let Some(registered) = shared.clients.register(id, limit, shared.now()) else {
+        shared.metrics.refused_connections.inc();
+        return;
     };
+    // Fails only on a closed connection, which the first read reports.
+    let _ = stream.set_nodelay(true);
+    let _ = socket::limit_receive_buffer(&stream, RECEIVE_BUFFER_BYTES);
     let limits = shared.configuration().map(|active| active.limits);
-    let state = shared.clone();
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
+    let head_timeout = limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.head_timeout);
+    let idle_timeout =
+        limits.map_or(MIN_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(MIN_IDLE_TIMEOUT));
+    let clock = shared.platform.clock().clone();
+    let stream = ClientStream::new(stream, registered.connection.clone(), head_timeout, clock);
+    let (state, connection) = (shared.clone(), registered.connection.clone());
     let service = service_fn(move |request| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(handle(shared, clients, request).await) }
+        let (shared, connection) = (shared.clone(), connection.clone());
+        async move {
+            connection.set_phase(Phase::Busy, shared.now());
+            let response = handle_request(shared.clone(), request).await;
+            connection.set_phase(Phase::Idle, shared.now());
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new());
-    match clients {
-        Clients::Callers => {
-            let timeout =
-                limits.map_or(MIN_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(MIN_IDLE_TIMEOUT));
-            builder.header_read_timeout(timeout);
-        }
-        Clients::Nodes => {
-            builder.header_read_timeout(None);
-        }
-    }
-    let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES) + HEAD_MARGIN_BYTES);
+    let served = graceful.watch(builder.serve_connection(stream, service));
     tokio::spawn(async move {
         // A failed connection is not reported: each request on it has its own outcome.
-        let _ = state.shutdown.until_closed(connection).await;
+        tokio::select! {
+            _ = state.shutdown.until_closed(served) => {}
+            () = registered.connection.closed() => state.metrics.refused_connections.inc(),
+        }
     });
 }
 
-async fn handle<P: Platform>(
+/// Handles a request of a caller or the upstream.
+async fn handle_request<P: Platform>(
     shared: Arc<Shared<P>>,
-    clients: Clients,
     request: Request<Incoming>,
 ) -> Response<Payload<P>> {
-    match clients {
-        Clients::Callers => {
-            let mut response = entry::handle(shared.clone(), request).await;
-            if *shared.stopping.borrow() {
-                call::set_header(response.headers_mut(), header::CONNECTION, "close");
-            }
-            response
-        }
-        Clients::Nodes if request.uri().path() == exchange::PATH => {
+    let mut response = entry::handle(shared.clone(), request).await;
+    if *shared.stopping.borrow() {
+        call::set_header(response.headers_mut(), header::CONNECTION, "close");
+    }
+    response
+}
+
+/// Handles what another node sends: a call or a message.
+async fn handle_message<P: Platform>(
+    shared: Arc<Shared<P>>,
+    request: Request<Incoming>,
+) -> Response<Payload<P>> {
+    match request.uri().path() {
+        // A call has the path of its client's request, which may be that of a message. Every entry sets this header on
+        // calls, and removes it from what clients send.
+        _ if request.headers().contains_key(&call::CALL) => handle_call(&shared, request).await,
+        exchange::PATH => {
             let Some(body) = read_message(&shared, request.into_body()).await else {
                 return Payload::empty(StatusCode::BAD_REQUEST);
             };
@@ -136,7 +199,7 @@
                 None => Payload::empty(StatusCode::BAD_REQUEST),
             }
         }
-        Clients::Nodes if request.uri().path() == relay::PATH => {
+        relay::PATH => {
             let (parts, incoming) = request.into_parts();
             if let Some(revision) = relay::newer_revision(&shared, &parts.headers) {
                 let Some(body) = read_message(&shared, incoming).await else {
@@ -146,14 +209,30 @@
             }
             Payload::empty(StatusCode::OK)
         }
-        Clients::Nodes => handle_call(&shared, request).await,
+        _ => Payload::empty(StatusCode::BAD_REQUEST),
     }
 }
 
 /// Reads a message from another node; `None` if it doesn't arrive whole in time.
 async fn read_message<P: Platform>(shared: &Shared<P>, incoming: Incoming) -> Option<Bytes> {
     let deadline = shared.now() + MESSAGE_TIMEOUT;
-    body::read_request(incoming, MAX_BODY_BYTES, deadline).await.ok()
+    let bounds = Bounds { limit: MAX_BODY_BYTES, deadline, drain: Duration::ZERO };
+    // Bodies of clients must not keep out what nodes tell each other.
+    let unlimited = Arc::new(Budget::new(None));
+    let body = received::read(incoming, bounds, &unlimited, shared.platform.clock()).await;
+    body.ok().map(|body| body.to_bytes())
+}
+
+/// Reads a body from another node.
+async fn read_body<P: Platform>(
+    shared: &Shared<P>,
+    incoming: Incoming,
+    deadline: Instant,
+) -> Result<RequestBody, ReadError> {
+    let bounds = Bounds { limit: MAX_BODY_BYTES, deadline, drain: DRAIN_TIME };
+    let body = received::read(incoming, bounds, &shared.bodies, shared.platform.clock()).await;
+    intake::log_exhausted(shared);
+    body
 }
 
 /// Handles a call from another node, as the guard.
@@ -170,10 +249,11 @@
         return Payload::empty(StatusCode::BAD_REQUEST);
     };
     let call = header.call(now);
-    let body = body::read_request(incoming, MAX_BODY_BYTES, call.deadline);
+    let body = read_body(shared, incoming, call.deadline);
     let body = match shared.shutdown.until_answering(body).await {
         Some(Ok(body)) => Ok(body),
         Some(Err(ReadError::Late)) => Err(RefusalReason::BodyLate),
+        Some(Err(ReadError::Discarded)) => Err(RefusalReason::BodyBudget),
         Some(Err(_)) => return Payload::empty(StatusCode::BAD_REQUEST),
         None => Err(RefusalReason::Stopping),
     };
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -10,6 +10,7 @@
 use units::Clock;
 
 use super::active::{ActiveConfiguration, Taken};
+use super::clients::Connections;
 use super::departures::Kept;
 use super::events::{Event, Sink};
 use super::follow::FollowState;
@@ -19,6 +20,7 @@
 use super::shutdown::Shutdown;
 use super::traffic::Traffic;
 use super::upstream::{Moment, Upstream};
+use crate::bodies;
 use crate::configuration::{Configuration, Digest};
 use crate::connection::pool::Pool;
 use crate::decide::aggregate::Aggregates;
@@ -73,6 +75,10 @@
     pub parents: Mutex<ParentTracker<Root>>,
     /// Longest time limits of the upstream's calls, by called service.
     pub call_limits: Mutex<HashMap<Arc<str>, Duration>>,
+    /// Byte budget of request bodies.
+    pub bodies: Arc<bodies::Budget>,
+    /// Connections of clients.
+    pub clients: Arc<Connections>,
     /// Connections to the upstream.
     pub upstream_pool: Arc<Pool>,
     /// Connections to other nodes.
@@ -147,6 +153,8 @@
             )),
             parents: Mutex::new(ParentTracker::new(now)),
             call_limits: Mutex::default(),
+            clients: Arc::default(),
+            bodies: Arc::new(bodies::Budget::new(settings.memory_bytes)),
             upstream_pool: Arc::new(Pool::new(None, UPSTREAM_CONNECT_TIMEOUT)),
             peer_pool: Arc::new(Pool::new(Some(settings.listen.peers.ip()), PEER_CONNECT_TIMEOUT)),
             members: Mutex::new(Table::new(own, now)),
--- a/components/mesh/src/request.rs
+++ b/components/mesh/src/request.rs
@@ -10,4 +10,5 @@
 pub mod intake;
 pub mod outcome;
 pub mod peer;
+pub mod received;
 pub mod routed;
--- a/components/mesh/src/request/answer.rs
+++ b/components/mesh/src/request/answer.rs
@@ -82,6 +82,7 @@
         | RefusalReason::Overload
         | RefusalReason::Deadline
         | RefusalReason::BodyLate
+        | RefusalReason::BodyBudget
         | RefusalReason::Stopping => refusal.wait,
     }
 }
--- a/components/mesh/src/request/body.rs
+++ b/components/mesh/src/request/body.rs
@@ -1,5 +1,4 @@
-//! Request and response bodies. Requests are buffered so that they can be sent again; responses are buffered unless
-//! they are large.
+//! Response bodies, which are buffered unless they are large. Request bodies are read in [`super::received`].
 //!
 //! A large response is streamed until its deadline. What it holds is released then even if its reader has stalled.
 
@@ -11,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quick_error::quick_error;
 
@@ -214,32 +213,3 @@
         }
     }
 }
-
-/// Why a request body can't be read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReadError {
-    /// Larger than allowed.
-    TooLarge,
-    /// The sender closed the connection.
-    Incomplete,
-    /// The deadline passed.
-    Late,
-}
-
-/// Reads a request body of at most `limit` bytes, until `deadline` at the latest.
-pub async fn read_request(
-    body: Incoming,
-    limit: usize,
-    deadline: Instant,
-) -> Result<Bytes, ReadError> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let read = Limited::new(body, limit).collect();
-    match tokio::time::timeout_at(deadline.into(), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(ReadError::TooLarge),
-        Ok(Err(_)) => Err(ReadError::Incomplete),
-        Err(_) => Err(ReadError::Late),
-    }
-}
--- a/components/mesh/src/request/call.rs
+++ b/components/mesh/src/request/call.rs
@@ -21,6 +21,8 @@
 /// Header with a [`Notice`](crate::decide::notice::Notice): from a guard about its upstream, and back to it.
 pub const NOTICE: HeaderName = HeaderName::from_static("almondknot-notice");
 
+/// Start of the names of all headers that only nodes set.
+const INTERNAL_PREFIX: &str = "almondknot-";
 const EXPECTED: &str = "a call";
 
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -195,12 +197,19 @@
             .filter_map(|value| value.to_str().ok())
             .flat_map(|value| value.split(','))
             .filter_map(|name| name.trim().parse().ok())
+            // Required of every request, so that it can't be a hop-by-hop header.
+            .filter(|name| *name != header::HOST)
             .collect();
         for name in named {
             headers.remove(name);
         }
     }
-    for name in HOP_BY_HOP.iter().chain([&CALL, &OUTCOME, &LOAD, &NOTICE, &header::EXPECT]) {
+    for name in HOP_BY_HOP.iter().chain([&header::EXPECT]) {
+        headers.remove(name);
+    }
+    let is_internal = |name: &&HeaderName| name.as_str().starts_with(INTERNAL_PREFIX);
+    let internal: Vec<HeaderName> = headers.keys().filter(is_internal).cloned().collect();
+    for name in internal {
         headers.remove(name);
     }
 }
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{StatusCode, response};
 
 use super::body::Payload;
@@ -12,6 +11,7 @@
 use super::outcome::{Fault, Outcome, Refusal, RefusalReason};
 use super::routed::RoutedRequest;
 use super::{guard, peer};
+use crate::bodies::RequestBody;
 use crate::decide::budget::Budget;
 use crate::platform::Platform;
 use crate::process::events::Event;
@@ -74,7 +74,7 @@
     shared: &Arc<Shared<P>>,
     routed: &RoutedRequest,
     head: &RequestHead,
-    body: &Bytes,
+    body: &RequestBody,
 ) -> Forwarded<P> {
     let calls = lock(&shared.traffic).admission.makes_calls(&routed.call.service);
     let now = shared.now();
@@ -226,7 +226,7 @@
         &mut self,
         target: &Target,
         call: Call,
-        body: &Bytes,
+        body: &RequestBody,
     ) -> (Option<Target>, Outcome<P>) {
         let (shared, head) = (self.shared, self.head);
         let (node, idempotent) = (&target.record.node, call.idempotent);
@@ -336,7 +336,7 @@
     target: &Target,
     call: Call,
     head: &RequestHead,
-    body: &Bytes,
+    body: &RequestBody,
 ) -> Outcome<P> {
     if !target.local {
         return peer::send(shared, target, &call, head, body).await;
--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -3,16 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::header;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use quarantine::Fingerprint;
 
 use super::body::{BodyError, Payload, Resources};
 use super::call::{self, Call, RequestHead};
 use super::outcome::{Fault, Outcome, Refusal, RefusalReason};
+use crate::bodies::RequestBody;
 use crate::connection::pool::{PooledConnection, SendError};
 use crate::connection::socket;
 use crate::decide::budget::Budget;
@@ -122,7 +121,7 @@
     shared: &Arc<Shared<P>>,
     call: &Call,
     head: &RequestHead,
-    body: &Bytes,
+    body: &RequestBody,
 ) -> Outcome<P> {
     if !shared.shutdown.allows(call.deadline, shared.now()) {
         return Outcome::Refused(Refusal::new(RefusalReason::Stopping));
@@ -268,12 +267,12 @@
     shared: &Shared<P>,
     call: &Call,
     head: &RequestHead,
-    body: &Bytes,
+    body: &RequestBody,
     upstream: &Heartbeat,
     left: Duration,
-) -> Request<Full<Bytes>> {
+) -> Request<RequestBody> {
     let names = shared.platform.headers();
-    let mut request = Request::new(Full::new(body.clone()));
+    let mut request = Request::new(body.clone());
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = http::Uri::from(head.path.clone());
     let mut headers = head.headers.clone();
@@ -325,6 +324,8 @@
         }
     }
     call::strip_headers(&mut parts.headers);
+    // Also if the upstream lists it in `Connection`.
+    parts.headers.insert(&names.id, head.id.clone());
     Ok(Outcome::Answer { head: Box::new(parts), body, not_run })
 }
 
@@ -387,6 +388,6 @@
 }
 
 /// Requests with the same caller, path and body are taken for repeats of one request.
-fn fingerprint(call: &Call, head: &RequestHead, body: &Bytes) -> Fingerprint {
-    Fingerprint::of_request(&call.caller, head.path.as_str(), body)
+fn fingerprint(call: &Call, head: &RequestHead, body: &RequestBody) -> Fingerprint {
+    Fingerprint::of_blocks(&call.caller, head.path.as_str(), body.len(), body.blocks())
 }
--- a/components/mesh/src/request/outcome.rs
+++ b/components/mesh/src/request/outcome.rs
@@ -31,6 +31,8 @@
     Deadline,
     /// The deadline passed before the request's body was in.
     BodyLate,
+    /// Other bodies take up the budget of the node.
+    BodyBudget,
     /// The node or the upstream can't be reached.
     Unreachable,
     /// The node is about to exit.
@@ -38,7 +40,7 @@
 }
 
 impl RefusalReason {
-    const ALL: [(Self, &'static str); 11] = [
+    const ALL: [(Self, &'static str); 12] = [
         (Self::Unconfigured, "unconfigured"),
         (Self::NoUpstream, "no-upstream"),
         (Self::Leaving, "leaving"),
@@ -48,6 +50,7 @@
         (Self::Overload, "overload"),
         (Self::Deadline, "deadline"),
         (Self::BodyLate, "body-late"),
+        (Self::BodyBudget, "body-budget"),
         (Self::Unreachable, "unreachable"),
         (Self::Stopping, "stopping"),
     ];
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::body::{Payload, Resources};
 use super::call::{self, Call, RequestHead};
 use super::outcome::{Fault, Header, Outcome, Refusal, RefusalReason};
+use crate::bodies::RequestBody;
 use crate::connection::pool::{PooledConnection, SendError};
 use crate::decide::notice::{Notice, ReceivedNotice};
 use crate::decide::queue::Load;
@@ -50,7 +49,7 @@
     target: &Target,
     call: &Call,
     head: &RequestHead,
-    body: &Bytes,
+    body: &RequestBody,
 ) -> Outcome<P> {
     let answer = exchange(shared, target, call, head, body);
     shared.shutdown.until_answering(answer).await.unwrap_or(Outcome::Failed(Fault::Stopped))
@@ -61,7 +60,7 @@
     target: &Target,
     call: &Call,
     head: &RequestHead,
-    body: &Bytes,
+    body: &RequestBody,
 ) -> Outcome<P> {
     let started = shared.now();
     let node = &target.record.node;
@@ -200,9 +199,9 @@
     header: call::Header,
     notice: Option<Notice>,
     head: &RequestHead,
-    body: &Bytes,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(body.clone()));
+    body: &RequestBody,
+) -> Request<RequestBody> {
+    let mut request = Request::new(body.clone());
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = http::Uri::from(head.path.clone());
     *request.headers_mut() = head.headers.clone();
--- a/components/mesh/src/request/routed.rs
+++ b/components/mesh/src/request/routed.rs
@@ -122,6 +122,8 @@
     let names = shared.platform.headers();
     let path = parts.uri.path_and_query().cloned()?;
     call::strip_headers(&mut parts.headers);
+    // Also if the caller lists it in `Connection`, or sends several: the answer has to name this one.
+    parts.headers.insert(&names.id, id.clone());
     for name in [&names.deadline, &names.incarnation, &names.caller] {
         parts.headers.remove(name);
     }
--- a/components/quarantine/src/fingerprint.rs
+++ b/components/quarantine/src/fingerprint.rs
@@ -23,13 +23,32 @@
         Self::hash(&[method.as_bytes(), path.as_bytes(), body])
     }
 
+    /// The same for a body of `length` bytes in blocks.
+    pub fn of_blocks<'a>(
+        method: &str,
+        path: &str,
+        length: usize,
+        blocks: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut hasher = Self::hasher(&[method.as_bytes(), path.as_bytes()]);
+        hasher.update(&(length as u64).to_le_bytes());
+        for block in blocks {
+            hasher.update(block);
+        }
+        Self(hasher.digest())
+    }
+
     fn hash(parts: &[&[u8]]) -> Self {
+        Self(Self::hasher(parts).digest())
+    }
+
+    fn hasher(parts: &[&[u8]]) -> Xxh3 {
         let mut hasher = Xxh3::new();
         for part in parts {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
-        Self(hasher.digest())
+        hasher
     }
 }
 
