--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -135,6 +135,7 @@
     shared.metrics.upstream.factor.set(factor.map_or(f64::NAN, |(factor, _)| factor));
     let age = factor.map_or(f64::INFINITY, |(_, age)| age.as_secs_f64());
     shared.metrics.upstream.factor_age.set(age);
+    shared.metrics.clients.record(shared.clients.count(), shared.bodies.usage());
     match shared.metrics.text() {
         Ok(text) => Response::new(Full::new(text.into())),
         Err(_) => response(StatusCode::INTERNAL_SERVER_ERROR, "metrics can't be written"),
--- a/components/mesh/src/process/quotas.rs
+++ b/components/mesh/src/process/quotas.rs
@@ -9,9 +9,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use quota::message::{Notice, TokenRequest, TokenResponse};
 use quota::{Decision, Limit, Member, Permit, Sighting, Tolerance, View};
 use tokio::sync::Notify;
@@ -20,6 +19,7 @@
 use super::settings::{NodeSettings, QuotaBounds};
 use super::shared::{Shared, lock};
 use super::upstream::Moment;
+use crate::bodies::RequestBody;
 use crate::configuration::{Configuration, Tenant};
 use crate::decide::members::{Record, UpstreamState};
 use crate::platform::Platform;
@@ -346,7 +346,7 @@
     let body = serde_json::to_vec(request).ok()?;
     let message = Request::post(PATH)
         .header(http::header::HOST, address.to_string())
-        .body(Full::new(Bytes::from(body)))
+        .body(RequestBody::from(body))
         .ok()?;
     let now = shared.now();
     let sent = shared.peer_pool.send(address, message, PEER_MAX_IDLE, now).await;
--- a/components/mesh/src/request/outcome.rs
+++ b/components/mesh/src/request/outcome.rs
@@ -33,6 +33,8 @@
     Deadline,
     /// The deadline passed before the request's body was in.
     BodyLate,
+    /// Other bodies take up the budget of the node.
+    BodyBudget,
     /// The node or the upstream can't be reached.
     Unreachable,
     /// The node is about to exit.
@@ -40,7 +42,7 @@
 }
 
 impl RefusalReason {
-    const ALL: [(Self, &'static str); 12] = [
+    const ALL: [(Self, &'static str); 13] = [
         (Self::Unconfigured, "unconfigured"),
         (Self::Unconfirmed, "unconfirmed"),
         (Self::NoUpstream, "no-upstream"),
@@ -51,6 +53,7 @@
         (Self::Overload, "overload"),
         (Self::Deadline, "deadline"),
         (Self::BodyLate, "body-late"),
+        (Self::BodyBudget, "body-budget"),
         (Self::Unreachable, "unreachable"),
         (Self::Stopping, "stopping"),
     ];
