--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -133,7 +133,7 @@
         self.repeated.clear();
         let Some(view) = View::new(shared, now) else { return Vec::new() };
         lock(&shared.aggregates).duties = view.duties();
-        quotas::update(shared, view.delegates(), now);
+        quotas::update(shared, view.quota_leaders(), now);
         sum_domain(shared, now);
         sum_region(shared, now);
         self.reader = targets::reader(shared, now);
--- a/components/mesh/src/process/exchange/targets.rs
+++ b/components/mesh/src/process/exchange/targets.rs
@@ -66,6 +66,8 @@
     zones: BTreeMap<Arc<str>, Record>,
     /// The first of these in each region.
     regions: BTreeMap<Arc<str>, Record>,
+    /// The first present node of each failure domain that isn't stopping.
+    leaders: BTreeMap<Arc<str>, Record>,
     /// All other nodes.
     others: Vec<Record>,
 }
@@ -77,6 +79,7 @@
         let peers = lock(&shared.peers);
         let own = table.own()?.record.clone();
         let mut zones: BTreeMap<Arc<str>, Record> = BTreeMap::new();
+        let mut leaders: BTreeMap<Arc<str>, Record> = BTreeMap::new();
         let mut others = Vec::new();
         for (member, silent) in table.all(now) {
             let record = &member.record;
@@ -88,19 +91,23 @@
             if is_own || !(silent || avoided) {
                 // Nodes are ordered by name.
                 zones.entry(record.zone.clone()).or_insert_with(|| record.clone());
+                if !record.stopping {
+                    leaders.entry(record.zone.clone()).or_insert_with(|| record.clone());
+                }
             }
         }
         let mut regions: BTreeMap<Arc<str>, Record> = BTreeMap::new();
         for delegate in zones.values() {
             regions.entry(delegate.region.clone()).or_insert_with(|| delegate.clone());
         }
-        Some(Self { own, zones, regions, others })
+        Some(Self { own, zones, regions, leaders, others })
     }
 
-    /// The delegate of this node's failure domain, and those of the others, of this region first.
-    pub fn delegates(&self) -> (Option<&Record>, Vec<&Record>) {
-        let own = self.zones.get(&self.own.zone);
-        let others = self.zones.iter().filter(|(zone, _)| **zone != self.own.zone);
+    /// The quota leader of this node's failure domain, and those of the others, of this region first. A node that is
+    /// stopping remains the delegate for exchanges until it is gone, but leases no more shares.
+    pub fn quota_leaders(&self) -> (Option<&Record>, Vec<&Record>) {
+        let own = self.leaders.get(&self.own.zone);
+        let others = self.leaders.iter().filter(|(zone, _)| **zone != self.own.zone);
         let mut others: Vec<&Record> = others.map(|(_, record)| record).collect();
         others.sort_by_key(|record| record.region != self.own.region);
         (own, others)
@@ -166,6 +173,10 @@
     if let Some(reader) = reader(shared, now) {
         targets.push(reader);
     }
+    if shared.quotas.is_enabled() {
+        let leader = view.leaders.get(&own.zone).filter(|leader| leader.node != own.node);
+        targets.extend(leader.cloned());
+    }
     targets.extend(missing(shared, view));
     if shared.kept.is_urgent() {
         let near = neighbours(shared, now);
--- a/components/mesh/src/process/quotas.rs
+++ b/components/mesh/src/process/quotas.rs
@@ -110,6 +110,11 @@
         quota::Moment { monotonic, wall_ms: now.wall_ms }
     }
 
+    /// Whether any tenant has a quota.
+    pub fn is_enabled(&self) -> bool {
+        self.enabled.load(Ordering::Relaxed)
+    }
+
     /// Takes over the quotas of the configuration in force, which `active` returns: of two that come at once, the later
     /// one stays.
     pub fn configure(&self, active: impl FnOnce() -> Option<Arc<Configuration>>, now: Moment) {
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -422,6 +422,7 @@
         slots: 0,
         saved_upstream: None,
         departures: Vec::new(),
+        stopping: false,
     }
 }
 
--- a/components/mesh/tests/members.rs
+++ b/components/mesh/tests/members.rs
@@ -25,6 +25,7 @@
         slots: 4,
         saved_upstream: None,
         departures: Vec::new(),
+        stopping: false,
     }
 }
 
--- a/components/mesh/tests/starting/mod.rs
+++ b/components/mesh/tests/starting/mod.rs
@@ -256,6 +256,7 @@
                 tier: Tier::Zone,
                 silent: false,
                 leaving: false,
+                detour: false,
             });
             let chosen = select::select(candidates, now, &mut self.choices);
             let Some((index, has_more)) = chosen else { break };
