Hedge no large answer to another region

One of the two answers is thrown away, and bytes between regions are the most expensive. A unit test covers the decision.

--- a/components/mesh/src/decide/choose.rs
+++ b/components/mesh/src/decide/choose.rs
@@ -51,6 +51,12 @@
     Remote,
 }
 
+/// Whether a request that was sent to a node may be hedged to another one. A large answer may not cross regions for
+/// this: one of the two answers is thrown away, and bytes between regions are the most expensive.
+pub fn may_hedge(large: bool, other: Tier) -> bool {
+    !large || other < Tier::Remote
+}
+
 /// Load, failures and response times of a node, as observed by this one.
 #[derive(Debug, Clone)]
 pub struct Peer {
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -401,7 +401,8 @@
         Ok(())
     }
 
-    fn tier(&self, record: &Record) -> Tier {
+    /// Distance of a node.
+    pub fn tier(&self, record: &Record) -> Tier {
         if record.zone == self.settings.zone {
             Tier::Zone
         } else if record.region == self.settings.region {
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -13,6 +13,7 @@
 use super::routed::RoutedRequest;
 use super::{guard, peer};
 use crate::decide::budget::Budget;
+use crate::decide::choose;
 use crate::platform::Platform;
 use crate::process::events::Event;
 use crate::process::shared::{Shared, Target, lock};
@@ -256,8 +257,11 @@
 
     /// Chooses another node for a hedged request, if there is one and the retry budget allows it.
     fn choose_hedge(&mut self, target: &Target) -> Option<Target> {
-        let (other, _) = self.shared.choose_node(&self.routed.call.service, &self.tried)?;
-        if !self.take_retry(target, "silent", self.sent + 1) {
+        let RoutedRequest { route, call, .. } = self.routed;
+        let (other, _) = self.shared.choose_node(&call.service, &self.tried)?;
+        if !choose::may_hedge(route.large, self.shared.tier(&other.record))
+            || !self.take_retry(target, "silent", self.sent + 1)
+        {
             return None;
         }
         self.tried.push(other.record.node.clone());
--- a/components/mesh/tests/routing.rs
+++ b/components/mesh/tests/routing.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use mesh::decide::budget::{self, Budget, Rank};
-use mesh::decide::choose::{Peer, Tier};
+use mesh::decide::choose::{self, Peer, Tier};
 use mesh::decide::queue::Load;
 use mesh::decide::split::Split;
 use mesh::request::answer;
@@ -27,6 +27,15 @@
     expect_that!(Split::default().next(&[0, 5]), eq(1));
 }
 
+/// Guards against a large answer that crosses regions only to be thrown away.
+#[gtest]
+fn a_large_answer_is_not_hedged_to_another_region() {
+    for tier in [Tier::Zone, Tier::Region, Tier::Remote] {
+        expect_that!(choose::may_hedge(false, tier), eq(true), "{tier:?}");
+        expect_that!(choose::may_hedge(true, tier), eq(tier != Tier::Remote), "{tier:?}");
+    }
+}
+
 /// Retries of a thousand requests that all fail and would all be retried.
 fn retries(calls: bool) -> u32 {
     let now = Instant::now();
