--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -183,7 +183,7 @@
         shared.kept.record_told(told);
         let restarted = before.sent > 0 && before.incarnation != answer.incarnation;
         let (version, digests) = (answer.version, answer.digests.clone());
-        let confirmed = answer.confirmed_ms.map(Duration::from_millis);
+        let confirmed = answer.confirmed_ms;
         let mut cursor = Cursor {
             incarnation: answer.incarnation,
             seen: answer.table_revision,
@@ -195,10 +195,8 @@
         };
         message::apply(shared, answer);
         shared.compared_version(version);
-        if let (Some(age), Some(sent)) = (confirmed, sent)
-            && version <= shared.version()
-        {
-            lock(&shared.confirmation).relayed(age, sent.at, shared.moment());
+        if let (Some(age), Some(sent)) = (confirmed, sent) {
+            apply_confirmation(shared, age, version, sent.at);
         }
         let unequal = digests.map(|digests| lock(&shared.members).unequal_buckets(&digests));
         cursor.buckets = unequal.filter(|buckets| !buckets.is_empty() && !restarted);
@@ -253,6 +251,14 @@
     Ok(bytes)
 }
 
+/// Takes over the age of a confirmation that another node with this version told when it was asked at `asked`.
+fn apply_confirmation<P: Platform>(shared: &Shared<P>, age_ms: u64, version: u64, asked: Moment) {
+    if version <= shared.version() {
+        let age = Duration::from_millis(age_ms);
+        lock(&shared.confirmation).relayed(age, asked, shared.moment());
+    }
+}
+
 /// Detects that the process was suspended, so that other nodes are not taken for silent because of it.
 fn detect_suspension<P: Platform>(shared: &Shared<P>, elapsed: Duration) {
     let Some(suspended) = elapsed.checked_sub(INTERVAL + MIN_SUSPENSION) else { return };
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -19,6 +19,7 @@
 use super::events::Event;
 use super::exchange::targets;
 use super::shared::{Shared, lock};
+use super::upstream::Moment;
 use crate::decide::follow::{Follower, NextRead, Position};
 use crate::decide::revision::Origin;
 use crate::platform::{Answer, ConfigurationRead, Platform, StoreEpoch, StoreError};
@@ -143,9 +144,7 @@
                 }
                 apply_read(&shared, &read, offset, epoch);
                 read_version = shared.version();
-                let now = shared.moment();
-                follower.succeeded(epoch, read.next_offset, now.since(asked));
-                lock(&shared.confirmation).confirmed(asked, now);
+                follower.succeeded(epoch, read.next_offset, record_confirmation(&shared, asked));
                 if shared.configuration().is_none() {
                     follower.reset();
                     let _ = tokio::time::timeout(UNCONFIGURED_PAUSE, configured(&shared)).await;
@@ -164,6 +163,13 @@
     }
 }
 
+/// Records that a read which was asked for at `asked` showed nothing newer than what is in force; returns its time.
+fn record_confirmation<P: Platform>(shared: &Shared<P>, asked: Moment) -> Duration {
+    let now = shared.moment();
+    lock(&shared.confirmation).confirmed(asked, now);
+    now.since(asked)
+}
+
 /// Makes the follower's next read. Returns the offset that was asked for, or the reason for which the read was abandoned.
 async fn read_next<P: Platform>(
     shared: &Shared<P>,
@@ -245,7 +251,7 @@
                 backoff.succeeded(&shared, "watch");
                 state.record_answer(shared.now());
                 if contradiction.is_none() {
-                    lock(&shared.confirmation).confirmed(asked, shared.moment());
+                    record_confirmation(&shared, asked);
                 }
             }
             Err(err) => {
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -125,20 +125,7 @@
     /// Initial state of a process.
     pub fn new(platform: P, settings: NodeSettings, sink: Sink) -> prometheus::Result<Self> {
         let now = platform.clock().now();
-        let incarnation = millis(platform.clock().wall_time());
-        let own = Record {
-            node: settings.node.clone(),
-            incarnation,
-            serial: 1,
-            zone: settings.zone.clone(),
-            region: settings.region.clone(),
-            address: settings.listen.advertised,
-            service: settings.service.clone(),
-            state: UpstreamState::Unknown,
-            slots: 0,
-            saved_upstream: None,
-            departures: Vec::new(),
-        };
+        let own = own_record(&settings, millis(platform.clock().wall_time()));
         Ok(Self {
             metrics: Metrics::new()?,
             sink,
@@ -413,6 +400,23 @@
     }
 }
 
+/// Record of this node before its upstream is known.
+fn own_record(settings: &NodeSettings, incarnation: u64) -> Record {
+    Record {
+        node: settings.node.clone(),
+        incarnation,
+        serial: 1,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        address: settings.listen.advertised,
+        service: settings.service.clone(),
+        state: UpstreamState::Unknown,
+        slots: 0,
+        saved_upstream: None,
+        departures: Vec::new(),
+    }
+}
+
 /// Milliseconds since the epoch.
 fn millis(wall: SystemTime) -> u64 {
     wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -82,16 +82,10 @@
         // A node of an earlier version names no id where it has no answer of its upstream.
         None => !connection.is_reused(),
     };
-    let outcome = call::parse_header(&answer.headers, &call::OUTCOME).filter(|_| belongs);
-    let Some(outcome) = outcome else {
-        let reason =
-            if belongs { "the answer has no outcome" } else { "the answer is of another call" };
-        return mismatch(shared, node, reason);
+    let outcome = match outcome(&answer, belongs) {
+        Ok(outcome) => outcome,
+        Err(reason) => return mismatch(shared, node, reason),
     };
-    // A node of an earlier version passes on what an upstream may not send.
-    if matches!(outcome, Header::Answer(_)) && !call::is_final(answer.status) {
-        return mismatch(shared, node, "the answer has no status of a response");
-    }
     record_answer(shared, node, &answer.headers, outcome, started);
     match outcome {
         Header::Answer(not_run) => {
@@ -116,6 +110,20 @@
     }
 }
 
+/// The outcome that an answer bears, or why it can't be of this call.
+fn outcome(answer: &response::Parts, belongs: bool) -> Result<Header, &'static str> {
+    if !belongs {
+        return Err("the answer is of another call");
+    }
+    let outcome = call::parse_header(&answer.headers, &call::OUTCOME);
+    let outcome = outcome.ok_or("the answer has no outcome")?;
+    // A node of an earlier version passes on what an upstream may not send.
+    if matches!(outcome, Header::Answer(_)) && !call::is_final(answer.status) {
+        return Err("the answer has no status of a response");
+    }
+    Ok(outcome)
+}
+
 /// The outcome of an answer that can't be of this call.
 fn mismatch<P: Platform>(shared: &Shared<P>, node: &Arc<str>, reason: &str) -> Outcome<P> {
     shared.log(&Event::PeerLost { peer: node, reason });
