Admit only as many trees as the retries can complete while a leaf sheds calls

While a service sheds half of its calls, nearly all trees that need four or eight of them are started and lost, with all the work done for them.

Entries count first attempts by root class, attempts and shed ones of services that call no further; the figures travel with the other sums, where the deployment states bounds for retries. While a service sheds nothing, calls a tree and its load are learned; while it sheds a fifth or more, the plan admits by priority as many trees as the retries suffice for, and 5% of the others (decide/trees.rs; Admission::plan is the one place that uses it). Trees of fewer than 2.5 calls take their part of the retries but are not refused.

What is saved is the work of the trees that are refused, not measured here.

--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -21,3 +21,4 @@
 pub mod revision;
 pub mod shedding;
 pub mod split;
+pub mod trees;
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -12,6 +12,7 @@
 use super::demand;
 use super::fairness::TenantRates;
 use super::queue::Load;
+use super::trees::{self, Calls};
 use crate::platform::StoreEpoch;
 
 /// Time without updates of a node after which calls avoid it.
@@ -177,6 +178,9 @@
     /// Root requests per second of the heaviest tenants, by class.
     #[serde(default, skip_serializing_if = "TenantRates::is_empty")]
     pub tenants: TenantRates,
+    /// Calls that it sends, by service, where the deployment states bounds for retries.
+    #[serde(default, skip_serializing_if = "Calls::is_empty")]
+    pub calls: Calls,
     /// Whether its last read of the store failed.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub store_lost: bool,
@@ -204,6 +208,7 @@
         [running, waiting, limit].iter().all(|count| *count <= MAX_REQUESTS)
             && held_us <= MAX_HELD_US
             && self.rate.is_none_or(|(rate, tokens)| rate >= 0.0 && tokens.is_finite())
+            && trees::is_plausible(&self.calls)
             && rates.into_iter().chain(self.tenants.values()).all(demand::is_plausible)
     }
 
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -154,7 +154,7 @@
             budgets: Mutex::new(Budgets::new(settings.retries)),
             splits: Mutex::default(),
             aggregates: Mutex::default(),
-            traffic: Mutex::new(Traffic::new()),
+            traffic: Mutex::new(Traffic::with_retries(settings.retries)),
             suspects: Mutex::new(SuspectTable::with_trial_spread(rand::random_range(0.0..1.0))),
             exchange_now: Notify::new(),
             open_requests: AtomicU32::new(0),
