--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -28,3 +28,4 @@
 pub mod shedding;
 pub mod slow_start;
 pub mod split;
+pub mod trees;
--- a/components/mesh/src/decide/budget.rs
+++ b/components/mesh/src/decide/budget.rs
@@ -34,7 +34,7 @@
 
 /// Share of the deployment's ratio that nodes allow for services whose upstreams make no calls, and for those whose
 /// upstreams do: the proportions of the ratios above, less a tenth for load that moves between nodes.
-const LEAF_SHARE: f64 = 0.9 * LEAF_RATIO / 0.2;
+pub const LEAF_SHARE: f64 = 0.9 * LEAF_RATIO / 0.2;
 const CALLING_SHARE: f64 = 0.9 * CALLING_RATIO / 0.2;
 /// Rate at which retries are earned, relative to one that fills the window evenly, so that a service that sheds for less
 /// than a window can use all of it.
@@ -158,9 +158,10 @@
         earned
     }
 
-    /// Whether the window allows so many retries.
-    fn allows(&mut self, retries: f64, now: Instant) -> bool {
-        self.counts.left(self.share, now) + self.bounds.allowance >= retries
+    /// Whether the window allows a retry. There is no reserve for urgent trees: where a node sends few requests, the
+    /// window allows a single retry, and others would get none.
+    fn allows(&mut self, now: Instant) -> bool {
+        self.counts.left(self.share, now) + self.bounds.allowance >= 1.0
     }
 }
 
@@ -228,7 +229,7 @@
         let mut granted = true;
         if let Some(windowed) = &mut self.windowed {
             self.tokens = (self.tokens + windowed.earn(now)).min(max);
-            granted = windowed.allows(needed, now);
+            granted = windowed.allows(now);
         }
         granted &= self.tokens >= needed;
         if granted {
