--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -119,7 +119,7 @@
     shared.metrics.suspects.set(suspects.len() as i64);
     shared.metrics.quarantined.set(suspects.quarantined().count() as i64);
     drop(suspects);
-    let (share, outstanding) = shared.quotas.pool();
+    let (share, outstanding) = shared.quotas.pool(shared.moment());
     shared.metrics.quota.pool_share.set(share);
     shared.metrics.quota.outstanding.set(outstanding as i64);
     shared.metrics.upstream.running.set(i64::from(load.running));
--- a/components/mesh/src/process/quotas.rs
+++ b/components/mesh/src/process/quotas.rs
@@ -197,9 +197,10 @@
     }
 
     /// Shares used here as a quota leader, and granted tokens that may still be used.
-    pub fn pool(&self) -> (f64, u64) {
-        let state = lock(&self.state);
-        (state.member.pool().share(), state.member.pool().outstanding())
+    pub fn pool(&self, now: Moment) -> (f64, u64) {
+        let mut state = lock(&self.state);
+        let outstanding = state.member.outstanding(self.moment(now));
+        (state.member.pool().share(), outstanding)
     }
 
     /// Puts back the token of a request that surely did not run and will not run.
--- a/components/quota/src/census.rs
+++ b/components/quota/src/census.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::message::Peak;
+use crate::message::Silent;
 use crate::{Moment, RETURN};
 
 /// Time for which a silent node counts.
@@ -68,8 +68,10 @@
     last: Moment,
     seen: HashMap<Arc<str>, Seen>,
     present: usize,
-    /// The highest number of nodes that others had counted when the process started.
-    told: Option<(u32, Moment)>,
+    /// Silent nodes that others knew when the process started, and when they counted them.
+    told: Option<(usize, Moment)>,
+    /// Nodes in all, with those.
+    floor: usize,
     settled: bool,
     /// Last time that more than half of the nodes were heard from.
     majority: Moment,
@@ -85,6 +87,7 @@
             seen: HashMap::new(),
             present: 0,
             told: None,
+            floor: 0,
             settled: false,
             majority: now,
             rival: None,
@@ -126,34 +129,42 @@
         if majority {
             self.majority = now;
         }
+        if let Some((silent, _)) = self.told
+            && now.surely_since(self.started) < ADOPT
+        {
+            self.floor = self.floor.max(self.present + silent);
+        }
         let silent = self.nodes(now).saturating_sub(self.present);
         let can_settle = joined && now.surely_since(self.started) >= SETTLE;
         self.settled |= can_settle && silent * SILENT_FRACTION <= self.nodes(now);
     }
 
-    /// The number of nodes, for processes that have just started.
-    pub fn peak(&self, now: Moment) -> Peak {
-        let counted = self.seen.values().filter(|seen| seen.is_confirmed()).count();
+    /// The silent nodes that count, for processes that have just started.
+    pub fn silent(&self, now: Moment) -> Silent {
+        let silent = |seen: &&Seen| seen.is_confirmed() && seen.at != self.last;
+        let counted = self.seen.values().filter(silent).count();
+        let floor = self.floor.saturating_sub(self.present);
         match self.told {
-            Some((nodes, at)) if nodes as usize > counted && now.surely_since(at) < RETAIN => {
-                Peak { nodes, age_ms: now.since(at).as_millis() as u64 }
+            Some((_, at)) if floor > counted && now.surely_since(at) < RETAIN => {
+                Silent { nodes: floor as u32, age_ms: now.since(at).as_millis() as u64 }
             }
-            _ => Peak { nodes: counted as u32, age_ms: 0 },
+            _ => Silent { nodes: counted as u32, age_ms: 0 },
         }
     }
 
-    /// Takes note of another node's count.
-    pub fn heard(&mut self, peak: Peak, now: Moment) {
-        if now.surely_since(self.started) >= ADOPT || peak.nodes > MAX_NODES {
+    /// Takes note of the silent nodes that another node counts.
+    pub fn heard(&mut self, silent: Silent, now: Moment) {
+        if now.surely_since(self.started) >= ADOPT || silent.nodes > MAX_NODES {
             return;
         }
-        let age = Duration::from_millis(peak.age_ms);
+        let age = Duration::from_millis(silent.age_ms);
         let at = Moment {
             monotonic: now.monotonic.saturating_sub(age),
-            wall_ms: now.wall_ms.saturating_sub(peak.age_ms),
+            wall_ms: now.wall_ms.saturating_sub(silent.age_ms),
         };
-        if self.told.is_none_or(|(known, _)| peak.nodes > known) {
-            self.told = Some((peak.nodes, at));
+        let nodes = silent.nodes as usize;
+        if self.told.is_none_or(|(known, _)| nodes > known) {
+            self.told = Some((nodes, at));
         }
     }
 
@@ -165,8 +176,8 @@
     /// Nodes that count.
     pub fn nodes(&self, now: Moment) -> usize {
         let told = self.told.filter(|(_, at)| now.surely_since(*at) < RETAIN);
-        let told = told.map_or(0, |(nodes, _)| nodes as usize);
-        self.seen.len().max(told).max(1)
+        let floor = if told.is_some() { self.floor } else { 0 };
+        self.seen.len().max(floor).max(1)
     }
 
     /// The share that this node is entitled to.
--- a/components/quota/src/member.rs
+++ b/components/quota/src/member.rs
@@ -104,7 +104,7 @@
         let renewal = if share > 0.0 { self.contributor.renewal(reader, share, now) } else { None };
         Notice {
             stamp: self.pool.stamp(now),
-            peak: self.census.peak(now),
+            silent: self.census.silent(now),
             renewal,
             stopping: self.pool.is_stopping(),
             rival: self.rivals.remove(reader),
@@ -113,7 +113,7 @@
 
     /// Takes note of what another node has told with an exchange.
     pub fn receive(&mut self, from: &Arc<str>, notice: &Notice, now: Moment) {
-        self.census.heard(notice.peak, now);
+        self.census.heard(notice.silent, now);
         if notice.rival {
             self.census.heard_rival(now);
         }
@@ -231,6 +231,11 @@
         &self.pool
     }
 
+    /// Tokens granted to other nodes that may still be used.
+    pub fn outstanding(&mut self, now: Moment) -> u64 {
+        self.pool.outstanding(now)
+    }
+
     /// The node that this node's share is leased to.
     pub fn leased_to(&self) -> Option<&Arc<str>> {
         self.contributor.leader()
--- a/components/quota/src/message.rs
+++ b/components/quota/src/message.rs
@@ -28,9 +28,9 @@
     pub share: f64,
 }
 
-/// A count of nodes.
+/// Silent nodes that count.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Peak {
+pub struct Silent {
     /// Their number.
     pub nodes: u32,
     /// Milliseconds since it was counted.
@@ -42,8 +42,8 @@
 pub struct Notice {
     /// Present time of the sender, to be echoed in a renewal.
     pub stamp: Stamp,
-    /// Nodes that the sender counts.
-    pub peak: Peak,
+    /// Silent nodes that the sender counts.
+    pub silent: Silent,
     /// Renewal of the sender's lease to the reader.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub renewal: Option<Renewal>,
--- a/components/quota/src/pool.rs
+++ b/components/quota/src/pool.rs
@@ -1,6 +1,6 @@
 //! Quota leader: the shares leased to this node, and the tokens granted from them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub struct Pool {
     process: u64,
-    leased: HashMap<Arc<str>, Leased>,
+    leased: BTreeMap<Arc<str>, Leased>,
     /// The node's own share, while it is used here.
     own: f64,
     share: f64,
@@ -53,7 +53,7 @@
     pub fn new(process: u64, now: Moment) -> Self {
         Self {
             process,
-            leased: HashMap::new(),
+            leased: BTreeMap::new(),
             own: 0.0,
             share: 0.0,
             earned: 0.0,
@@ -198,7 +198,9 @@
     }
 
     /// Granted tokens of all tenants that may still be used.
-    pub fn outstanding(&self) -> u64 {
+    pub fn outstanding(&mut self, now: Moment) -> u64 {
+        self.advance(now);
+        self.settle_all(now);
         self.buckets.values().map(Bucket::outstanding).sum()
     }
 
--- a/components/quota/src/purse.rs
+++ b/components/quota/src/purse.rs
@@ -49,6 +49,7 @@
 struct Pending {
     leader: Arc<str>,
     number: u64,
+    wanted: u32,
     sent: Moment,
 }
 
@@ -115,8 +116,9 @@
     /// The request for tokens to send to a quota leader now.
     pub fn request(&mut self, tenant: &Arc<str>, leader: &Arc<str>, now: Moment) -> TokenRequest {
         self.numbers += 1;
-        self.pending.push(Pending { leader: leader.clone(), number: self.numbers, sent: now });
+        let number = self.numbers;
         let wanted = (self.demand * AHEAD.as_secs_f64()).clamp(1.0, MAX_WANTED).round() as u32;
+        self.pending.push(Pending { leader: leader.clone(), number, wanted, sent: now });
         let process = self.ended.iter().rev().find(|(from, ..)| from == leader);
         let process = process.map(|(_, process, _)| *process);
         let mut ended = Vec::new();
@@ -126,19 +128,24 @@
             }
             from != leader
         });
-        TokenRequest { tenant: tenant.clone(), number: self.numbers, wanted, process, ended }
+        TokenRequest { tenant: tenant.clone(), number, wanted, process, ended }
     }
 
     /// Takes note of a quota leader's response. Repeated responses, and those to requests that were given up, have no
     /// effect.
     pub fn complete(&mut self, leader: &Arc<str>, response: &TokenResponse, now: Moment) {
-        let Some(sent) = self.end_request(leader, response.number) else { return };
-        if response.tokens == 0 {
+        let Some(Pending { wanted, sent, .. }) = self.end_request(leader, response.number) else {
+            return;
+        };
+        let TokenResponse { process, id: grant, tokens, .. } = *response;
+        if tokens < wanted {
+            // Others may have more than what trickles in there.
             let wait = Duration::from_millis(response.wait_ms).min(MAX_REMEMBERED);
             self.empty.insert(leader.clone(), now.monotonic + wait);
+        }
+        if tokens == 0 {
             return;
         }
-        let TokenResponse { process, id: grant, tokens, .. } = *response;
         self.held.push(Held { leader: leader.clone(), process, grant, tokens, sent });
     }
 
@@ -149,9 +156,9 @@
         }
     }
 
-    fn end_request(&mut self, leader: &Arc<str>, number: u64) -> Option<Moment> {
+    fn end_request(&mut self, leader: &Arc<str>, number: u64) -> Option<Pending> {
         let same = |pending: &Pending| pending.number == number && pending.leader == *leader;
         let place = self.pending.iter().position(same)?;
-        Some(self.pending.swap_remove(place).sent)
+        Some(self.pending.swap_remove(place))
     }
 }
--- a/components/quota/tests/fleet/mod.rs
+++ b/components/quota/tests/fleet/mod.rs
@@ -258,6 +258,7 @@
         let end = self.now + seconds;
         while self.now < end {
             self.now += TICK;
+            self.resume();
             let due = (self.now * 1e6) as u64;
             while let Some(entry) = self.events.first_entry() {
                 if entry.key().0 > due {
@@ -266,7 +267,6 @@
                 let event = entry.remove();
                 self.handle(event);
             }
-            self.resume();
             self.arrive();
             self.expire();
         }
