--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -222,7 +222,10 @@
         domains: sums.0,
         regions: sums.1,
         suspects: suspects.into_iter().map(Suspect::from).collect(),
-        quota: shared.quotas.notice(reader.node, shared.moment()),
+        // Shares are leased within a failure domain only.
+        quota: (*reader.zone == own.zone)
+            .then(|| shared.quotas.notice(reader.node, shared.moment()))
+            .flatten(),
         configuration: document.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok()),
     }
 }
--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -7,6 +7,8 @@
 
 /// Part of the tolerance that goes into the capacity; the rest covers nodes that count different numbers of nodes.
 const CAPACITY_PART: f64 = 0.5;
+/// Smallest burst, as a part of what the rate allows in a window: requests arrive in groups.
+const MIN_BURST_PART: f64 = 0.2;
 /// Highest rate and capacity; larger quotas are cut to it, so that sums stay exact.
 const MAX_TOKENS: f64 = 1e12;
 
@@ -37,7 +39,11 @@
         let (rate, burst) = (clean(rate), clean(burst));
         let quota = rate * tolerance.window.as_secs_f64() + burst;
         let excess = clean(tolerance.overage) * quota + clean(tolerance.slack);
-        Self { rate, capacity: burst + CAPACITY_PART * excess }
+        let window = tolerance.window.as_secs_f64();
+        // Without a burst there would be no token to grant: a part of the rate is given as a burst.
+        let base = burst.max(MIN_BURST_PART * rate * window);
+        let rate = if base > burst { rate - (base - burst) / window } else { rate };
+        Self { rate, capacity: base + CAPACITY_PART * excess }
     }
 }
 
--- a/components/quota/tests/faults.rs
+++ b/components/quota/tests/faults.rs
@@ -49,15 +49,18 @@
 fn late_renewals_hold_no_shares() {
     for seed in 0..20 {
         let mut fleet = fleet(seed, 10);
-        fleet.late = 0.7;
-        pause(&mut fleet, 4.0);
-        surge(&mut fleet, 1.0);
-        for _ in 0..6 {
+        // Half of the requests arrive at the first quota leader.
+        fleet.tenants[0].at = [vec![0; 9], (1..10).collect()].concat();
+        (fleet.repeated, fleet.lateness) = (1.0, 12.0);
+        for _ in 0..3 {
+            fleet.late = 1.0;
+            fleet.run(3.0);
             cut_off(&mut fleet, |name| name == 0);
-            let time = fleet.rng.random_range(2.0..5.0);
-            fleet.run(time);
+            fleet.late = 0.0;
+            fleet.run(4.0);
+            surge(&mut fleet, 9.0);
             cut_off(&mut fleet, |_| false);
-            fleet.run(2.0);
+            pause(&mut fleet, 10.0);
         }
     }
 }
--- a/components/quota/tests/fleet/mod.rs
+++ b/components/quota/tests/fleet/mod.rs
@@ -140,6 +140,8 @@
     sequence: u64,
     pub loss: f64,
     pub late: f64,
+    /// Most seconds by which a message is late.
+    pub lateness: f64,
     pub repeated: f64,
     pub messages: u64,
 }
@@ -160,6 +162,7 @@
             sequence: 0,
             loss: 0.0,
             late: 0.0,
+            lateness: 4.0,
             repeated: 0.0,
             messages: 0,
         };
@@ -424,7 +427,7 @@
             let mut delay =
                 if same { self.random(0.0001, 0.001) } else { self.random(0.03, 0.032) };
             if self.rng.random_bool(self.late) {
-                delay += self.random(0.0, 4.0);
+                delay += self.random(0.0, self.lateness);
             }
             let letter = Letter { from, to, exchange, body: body() };
             self.schedule(self.now + delay, Event::Deliver(letter));
@@ -443,7 +446,7 @@
             let mut delay =
                 if same { self.random(0.0001, 0.001) } else { self.random(0.03, 0.032) };
             if self.rng.random_bool(self.late) {
-                delay += self.random(0.0, 4.0);
+                delay += self.random(0.0, self.lateness);
             }
             let Letter { from, to, exchange, .. } = *letter;
             let letter = Letter { from: to, to: from, exchange, body: body() };
