--- a/components/mesh/src/decide/bodies.rs
+++ b/components/mesh/src/decide/bodies.rs
@@ -26,7 +26,7 @@
 const FIXED_BYTES: u64 = 40 << 20;
 /// Part of the remaining memory that bodies may take; the rest is for buffers of the kernel and of connections, and for
 /// answers.
-const BODY_SHARE: f64 = 0.6;
+const BODY_SHARE: f64 = 0.75;
 /// Part of a budget that only small bodies may use.
 const RESERVE_SHARE: u64 = 16;
 /// Part of the memory that bodies get on a machine that has hardly more than the process needs.
