--- a/components/mesh/src/bodies/blocks.rs
+++ b/components/mesh/src/bodies/blocks.rs
@@ -121,7 +121,7 @@
     }
 
     /// Bytes that have arrived.
-    pub fn len(&self) -> usize {
+    pub fn length(&self) -> usize {
         self.length
     }
 
--- a/components/mesh/src/process/metrics.rs
+++ b/components/mesh/src/process/metrics.rs
@@ -1,9 +1,10 @@
 //! Counters, gauges and histograms of the node.
 
-use crate::decide::bodies::Usage;
 use board::MetricsRegistry;
 use prometheus::{Gauge, Histogram, IntCounter, IntCounterVec, IntGauge};
 
+use crate::decide::bodies::Usage;
+
 /// Upper bounds of the histogram buckets, from a local answer to the longest deadline.
 const BUCKETS_SECONDS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0];
@@ -22,8 +23,6 @@
     pub incoming_bodies: IntGauge,
     /// Metrics of what clients may take of the node.
     pub clients: ClientMetrics,
-    /// Connections of clients that were refused, or closed for others.
-    pub refused_connections: IntCounter,
     /// Configurations that were refused.
     pub refused_configurations: IntCounter,
     /// Requests that were sent again, by reason.
@@ -102,6 +101,8 @@
 pub struct ClientMetrics {
     /// Open connections.
     pub connections: IntGauge,
+    /// Those that were refused, or closed for others.
+    pub refused: IntCounter,
     /// Bytes that request bodies may take; 0 if they are not limited.
     pub budget_size: IntGauge,
     /// Bytes that they take.
@@ -116,6 +117,10 @@
     fn new(registry: &MetricsRegistry) -> prometheus::Result<Self> {
         Ok(Self {
             connections: registry.gauge("client_connections", "Open connections of clients.")?,
+            refused: registry.counter(
+                "client_connections_refused_total",
+                "Connections of clients that were refused, or closed for others.",
+            )?,
             budget_size: registry.gauge(
                 "body_budget_bytes",
                 "Bytes that request bodies may take; 0 if not limited.",
@@ -197,10 +202,6 @@
             incoming_bodies: registry
                 .gauge("incoming_bodies", "Requests whose body has not arrived yet.")?,
             clients: ClientMetrics::new(&registry)?,
-            refused_connections: registry.counter(
-                "client_connections_refused_total",
-                "Connections of clients that were refused, or closed for others.",
-            )?,
             refused_configurations: registry
                 .counter("configurations_refused_total", "Configurations that were refused.")?,
             retries: registry.counters("retries_total", "Requests sent once more.", &["reason"])?,
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -131,7 +131,7 @@
 ) {
     let limit = shared.settings.descriptors.map(max_connections);
     let Some(registered) = shared.clients.register(id, limit, shared.now()) else {
-        shared.metrics.refused_connections.inc();
+        shared.metrics.clients.refused.inc();
         return;
     };
     // Fails only on a closed connection, which the first read reports.
@@ -164,7 +164,7 @@
         // A failed connection is not reported: each request on it has its own outcome.
         tokio::select! {
             _ = state.shutdown.until_closed(served) => {}
-            () = registered.connection.closed() => state.metrics.refused_connections.inc(),
+            () = registered.connection.closed() => state.metrics.clients.refused.inc(),
         }
     });
 }
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -129,6 +129,7 @@
     pub fn new(platform: P, settings: NodeSettings, sink: Sink) -> prometheus::Result<Self> {
         let now = platform.clock().now();
         let incarnation = millis(platform.clock().wall_time());
+        let (interval, drain_time) = (settings.heartbeat_interval, settings.drain_time);
         let own = Record {
             node: settings.node.clone(),
             incarnation,
@@ -146,11 +147,7 @@
             metrics: Metrics::new()?,
             sink,
             limiter: Limiter::default(),
-            upstream: Mutex::new(Upstream::new(
-                settings.heartbeat_interval,
-                settings.drain_time,
-                now,
-            )),
+            upstream: Mutex::new(Upstream::new(interval, drain_time, now)),
             parents: Mutex::new(ParentTracker::new(now)),
             call_limits: Mutex::default(),
             clients: Arc::default(),
--- a/components/mesh/src/request/received.rs
+++ b/components/mesh/src/request/received.rs
@@ -82,7 +82,7 @@
         };
         let Some(frame) = frame else { return Ok(builder.finish()) };
         let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() else { continue };
-        if builder.len() + data.len() > limit {
+        if builder.length() + data.len() > limit {
             return Err(ReadError::TooLarge);
         }
         builder.push(&data, clock).await?;
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -6,7 +6,8 @@
 
 use std::time::{Duration, Instant};
 
-use emulator::site::{Config, HOST, Machine, NodeLimits};
+use emulator::direct;
+use emulator::site::{Config, Machine, NodeLimits};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -141,9 +142,7 @@
 
 /// Head of a request without its framing and its end.
 fn head(id: &str) -> String {
-    format!(
-        "POST /delivery-confirm/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 30000\r\n"
-    )
+    direct::open_head(id, "/delivery-confirm/1", 30_000)
 }
 
 async fn repeat(stream: &mut TcpStream, bytes: &[u8], total: usize) -> std::io::Result<()> {
