Quota: records of gone nodes don't keep a new process from its share

The store keeps the records of nodes that are gone; a fleet that started with more than a tenth of such records would have had no quotas for 30 s. Only nodes count as silent that this or another process has heard from.

--- a/components/quota/src/census.rs
+++ b/components/quota/src/census.rs
@@ -134,7 +134,8 @@
         {
             self.floor = self.floor.max(self.present + silent);
         }
-        let silent = self.nodes(now).saturating_sub(self.present);
+        // Records of nodes that are gone, as the store keeps them, don't count here.
+        let silent = self.silent(now).nodes as usize;
         let can_settle = joined && now.surely_since(self.started) >= SETTLE;
         self.settled |= can_settle && silent * SILENT_FRACTION <= self.nodes(now);
     }
--- a/components/quota/tests/faults.rs
+++ b/components/quota/tests/faults.rs
@@ -4,7 +4,6 @@
 mod fleet;
 
 use fleet::{Fleet, Tenant};
-use rand::RngExt;
 
 const RATE: f64 = 120.0;
 
--- a/components/quota/tests/leases.rs
+++ b/components/quota/tests/leases.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quota::message::{Notice, Renewal, Silent};
-use quota::{Contributor, LEASE, Moment, Pool, RETURN, Renewed};
+use quota::message::{Notice, Renewal, Silent, TokenResponse};
+use quota::{Contributor, GRANT, LEASE, Moment, Pool, Purse, RETURN, Renewed};
 
 fn at(ms: u64) -> Moment {
     Moment { monotonic: Duration::from_millis(10_000 + ms), wall_ms: 1_000_000 + ms }
@@ -54,9 +54,31 @@
     contributor.heard(&leader, &notice, at(0));
     contributor.renewal(&leader, 0.5, at(100)).unwrap();
     let returned = 100 + RETURN.as_millis() as u64;
+    // Another node is the quota leader now.
+    let other: Arc<str> = "n2".into();
+    let stamp = Pool::new(2, at(0)).stamp(at(200));
+    contributor.heard(&other, &Notice { stamp, ..notice }, at(200));
+    assert!(contributor.renewal(&other, 0.5, at(returned - 1)).is_none());
     // The wall clock was set forward.
     let early = Moment { wall_ms: u64::MAX / 2, ..at(returned - 1) };
     assert!(!contributor.keep(early));
     assert!(contributor.keep(at(returned)));
-    assert!(RETURN >= LEASE + quota::GRANT);
+    assert!(RETURN >= LEASE + GRANT);
+}
+
+/// Guards against granted tokens that are used after the quota leader has stopped counting them, also where only the wall
+/// clock went on, and against responses that are counted twice.
+#[test]
+fn granted_tokens_expire() {
+    let (tenant, leader): (Arc<str>, Arc<str>) = ("t".into(), "n0".into());
+    let mut purse = Purse::default();
+    let number = purse.request(&tenant, &leader, at(0)).number;
+    let response = TokenResponse { number, process: 1, id: 1, tokens: 2, wait_ms: 0 };
+    purse.complete(&leader, &response, at(300));
+    purse.complete(&leader, &response, at(300));
+    let end = GRANT.as_millis() as u64;
+    assert!(purse.take(at(end - 1)).is_some());
+    let suspended = Moment { wall_ms: at(end).wall_ms, ..at(301) };
+    assert!(purse.take(suspended).is_none());
+    assert!(purse.take(at(301)).is_none());
 }
