Let a node that hears of no confirmation read the store by itself

Only nodes with a read in progress checked the store when confirmations were late; the others waited for their failure domain's reader to be replaced, which takes up to about 3.3 s by the intervals involved.

--- a/components/mesh/src/process/confirmation.rs
+++ b/components/mesh/src/process/confirmation.rs
@@ -9,8 +9,9 @@
 
 use super::upstream::Moment;
 
-/// Part of the bound after which a node that hears of no confirmation reads the store by itself.
-const OVERDUE_FRACTION: f64 = 0.6;
+/// Part of the bound after which a node that hears of no confirmation reads the store by itself: later than with a reader
+/// that is served, and early enough for two exchanges before the bound of 5 s.
+const OVERDUE_FRACTION: f64 = 0.7;
 /// Part of the bound in which the store is read at intervals.
 const INTERVAL_FRACTION: f64 = 0.4;
 
--- a/components/mesh/src/process/follow.rs
+++ b/components/mesh/src/process/follow.rs
@@ -192,11 +192,13 @@
     }
 }
 
-/// Waits until this node has to read by itself. One without a configuration is sent it by the reader as soon as there is
+/// Waits until this node has to read by itself, also as it hears of no confirmation where keys need one. One without a configuration is sent it by the reader as soon as there is
 /// one.
 async fn wait_for_turn<P: Platform>(shared: &Shared<P>) {
     let state = &shared.follow;
-    while state.relayed.load(Ordering::Relaxed) && !targets::is_reader(shared, shared.now()) {
+    let is_overdue = || lock(&shared.confirmation).is_overdue(shared.moment());
+    let is_relayed = || state.relayed.load(Ordering::Relaxed);
+    while is_relayed() && !targets::is_reader(shared, shared.now()) && !is_overdue() {
         state.turn.notified().await;
     }
 }
