--- a/components/quota/src/census.rs
+++ b/components/quota/src/census.rs
@@ -181,6 +181,12 @@
         self.seen.len().max(floor).max(1)
     }
 
+    /// Time until a process that has just started may use its share; none if it does, or waits for something else.
+    pub fn settles_in(&self, now: Moment) -> Option<Duration> {
+        let left = SETTLE.checked_sub(now.surely_since(self.started))?;
+        (!self.settled).then_some(left)
+    }
+
     /// The share that this node is entitled to.
     pub fn share(&self, now: Moment) -> f64 {
         let has_rival = self.rival.is_some_and(|at| now.surely_since(at) < RIVAL_TIME);
--- a/components/quota/src/member.rs
+++ b/components/quota/src/member.rs
@@ -10,6 +10,8 @@
 
 /// Expected wait for a token where no quota leader is known.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(500);
+/// Time after which a share that is used for the first time has tokens: a renewal of its lease, and some refilling.
+const FIRST_TOKEN: Duration = Duration::from_millis(700);
 /// Time in which a token of the node's own pool can be put back. It is in no bucket meanwhile, so that a window may see
 /// the tokens of so much time more; the tolerance covers it.
 const PUT_BACK: Duration = Duration::from_millis(100);
@@ -163,7 +165,10 @@
             };
             wait = Some(wait.map_or(empty, |wait| wait.min(empty)));
         }
-        Decision::Refused(wait.unwrap_or(UNKNOWN_WAIT))
+        // Where all nodes have just started, no leader has tokens before they may use their shares.
+        let settling = self.census.settles_in(now).map(|left| left + FIRST_TOKEN);
+        let wait = wait.unwrap_or(UNKNOWN_WAIT);
+        Decision::Refused(settling.map_or(wait, |settling| settling.max(wait)))
     }
 
     /// Whether a quota leader is being asked for tokens of a tenant.
