--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -213,6 +213,9 @@
     Refused {
         id: &'a str,
         route: &'a str,
+        /// The tenant, if the request has the key of one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        tenant: Option<&'a str>,
         #[serde(rename = "why")]
         reason: &'a str,
         share: f64,
--- a/components/mesh/src/request/answer.rs
+++ b/components/mesh/src/request/answer.rs
@@ -12,7 +12,7 @@
 use super::identity::Unauthorized;
 use super::outcome::{Fault, Refusal, RefusalReason};
 use super::routed::{self, RoutedRequest, host};
-use crate::configuration::{Configuration, Route};
+use crate::configuration::{Configuration, Route, Tenant};
 use crate::platform::Platform;
 use crate::process::events::Event;
 use crate::process::shared::{Shared, lock};
@@ -71,7 +71,7 @@
 ) -> Response<Payload<P>> {
     let refusal = Refusal { reason: RefusalReason::Unconfirmed, wait: SHORT_RETRY_AFTER };
     let retry_after = retry_after(refusal.wait, routed::caller_timeout(shared, route, parts));
-    refused(shared, id, &route.name, &refusal, retry_after, 0)
+    refused(shared, id, (&route.name, None), &refusal, retry_after, 0)
 }
 
 /// Delay before a refused caller should retry: the expected wait, with jitter so that callers don't return all at once.
@@ -114,7 +114,8 @@
                 expected_wait(&refusal, shared.settings.heartbeat_interval),
                 routed.caller_timeout,
             );
-            refused(shared, &head.id, &routed.route.name, &refusal, retry_after, attempts)
+            let subject = (&*routed.route.name, routed.tenant.as_deref());
+            refused(shared, &head.id, subject, &refusal, retry_after, attempts)
         }
         Forwarded::Failed { fault, node } => failed(shared, routed, head, node.as_ref(), fault),
     }
@@ -134,7 +135,7 @@
 pub fn refused<P: Platform>(
     shared: &Shared<P>,
     id: &HeaderValue,
-    route: &str,
+    (route, tenant): (&str, Option<&Tenant>),
     refusal: &Refusal,
     retry_after: Duration,
     attempts: usize,
@@ -150,6 +151,7 @@
     shared.log(&Event::Refused {
         id: id.to_str().unwrap_or_default(),
         route,
+        tenant: tenant.map(|tenant| &*tenant.name),
         reason,
         share,
         plan_ms: plan_age.as_millis() as u64,
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -63,8 +63,9 @@
     let Some(id) = parts.headers.get(&shared.platform.headers().id).cloned() else {
         return Payload::empty(StatusCode::BAD_REQUEST);
     };
-    let refuse =
-        |reason| answer::refused(&shared, &id, "", &Refusal::new(reason), SHORT_RETRY_AFTER, 0);
+    let refuse = |reason| {
+        answer::refused(&shared, &id, ("", None), &Refusal::new(reason), SHORT_RETRY_AFTER, 0)
+    };
     let body = match body {
         Some(Ok(body)) => body,
         Some(Err(error)) => return intake::unreadable(&shared, &parts, &id, error),
@@ -88,7 +89,8 @@
         }
         Err(refusal) => {
             let retry_after = answer::retry_after(refusal.wait, routed.caller_timeout);
-            answer::refused(&shared, &head.id, &routed.route.name, &refusal, retry_after, 0)
+            let subject = (&*routed.route.name, routed.tenant.as_deref());
+            answer::refused(&shared, &head.id, subject, &refusal, retry_after, 0)
         }
     };
     record_latency(&shared, &routed, &head, read_at);
--- a/components/mesh/src/request/intake.rs
+++ b/components/mesh/src/request/intake.rs
@@ -162,7 +162,7 @@
     });
     let refusal = Refusal::new(reason);
     let route = route.unwrap_or_default();
-    let mut response = answer::refused(shared, id, &route, &refusal, SHORT_RETRY_AFTER, 0);
+    let mut response = answer::refused(shared, id, (&route, None), &refusal, SHORT_RETRY_AFTER, 0);
     call::set_header(response.headers_mut(), header::CONNECTION, "close");
     response
 }
--- a/components/quota/src/member.rs
+++ b/components/quota/src/member.rs
@@ -190,7 +190,8 @@
         now: Moment,
     ) {
         if let Some(purse) = self.purses.get_mut(tenant) {
-            purse.complete(leader, response, now);
+            let is_own = self.leader.as_ref() == Some(leader);
+            purse.complete(leader, response, is_own, now);
         }
     }
 
--- a/components/quota/src/pool.rs
+++ b/components/quota/src/pool.rs
@@ -8,8 +8,9 @@
 use crate::message::{Renewal, Stamp, TokenRequest, TokenResponse};
 use crate::{LEASE, Moment};
 
-/// Shortest time for which a node is told to wait for a token, which bounds the requests of a tenant far over its quota.
-const MIN_WAIT: Duration = Duration::from_millis(50);
+/// Shortest time for which a node is told to wait for a token, which bounds the requests for tokens of a tenant far over
+/// its quota: with 50 ms, those of 79 nodes used up the processor of the quota leaders, and no tenant got tokens in time.
+const MIN_WAIT: Duration = Duration::from_millis(200);
 /// Longest time, after which shares may have been leased here again.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// Most nodes that a quota leader holds shares of.
--- a/components/quota/src/purse.rs
+++ b/components/quota/src/purse.rs
@@ -15,6 +15,8 @@
 const MAX_WANTED: f64 = 1e6;
 /// Most ended grants in one request; the others end by themselves.
 const MAX_ENDED: usize = 32;
+/// Factor on the wait that the quota leader of another failure domain states: its tokens are needed there.
+const OTHER_WAIT_FACTOR: u32 = 4;
 /// Longest time for which a refusal is remembered.
 const MAX_REMEMBERED: Duration = Duration::from_secs(2);
 
@@ -133,14 +135,22 @@
 
     /// Takes note of a quota leader's response. Repeated responses, and those to requests that were given up, have no
     /// effect.
-    pub fn complete(&mut self, leader: &Arc<str>, response: &TokenResponse, now: Moment) {
+    pub fn complete(
+        &mut self,
+        leader: &Arc<str>,
+        response: &TokenResponse,
+        is_own: bool,
+        now: Moment,
+    ) {
         let Some(Pending { wanted, sent, .. }) = self.end_request(leader, response.number) else {
             return;
         };
         let TokenResponse { process, id: grant, tokens, .. } = *response;
         if tokens < wanted {
             // Others may have more than what trickles in there.
-            let wait = Duration::from_millis(response.wait_ms).min(MAX_REMEMBERED);
+            let factor = if is_own { 1 } else { OTHER_WAIT_FACTOR };
+            let wait =
+                Duration::from_millis(response.wait_ms).saturating_mul(factor).min(MAX_REMEMBERED);
             self.empty.insert(leader.clone(), now.monotonic + wait);
         }
         if tokens == 0 {
--- a/components/quota/tests/leases.rs
+++ b/components/quota/tests/leases.rs
@@ -74,8 +74,8 @@
     let mut purse = Purse::default();
     let number = purse.request(&tenant, &leader, at(0)).number;
     let response = TokenResponse { number, process: 1, id: 1, tokens: 2, wait_ms: 0 };
-    purse.complete(&leader, &response, at(300));
-    purse.complete(&leader, &response, at(300));
+    purse.complete(&leader, &response, true, at(300));
+    purse.complete(&leader, &response, true, at(300));
     let end = GRANT.as_millis() as u64;
     assert!(purse.take(at(end - 1)).is_some());
     let suspended = Moment { wall_ms: at(end).wall_ms, ..at(301) };
