--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -106,11 +106,6 @@
             .collect();
     }
 
-    /// Services that shed calls, for which only trees are admitted that can be completed.
-    pub fn shedding(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.trees.shedding()
-    }
-
     /// Whether a service is so loaded that a part of the requests may soon have to be refused.
     pub fn is_loaded(&self) -> bool {
         self.loaded
--- a/components/mesh/src/decide/budget.rs
+++ b/components/mesh/src/decide/budget.rs
@@ -125,9 +125,6 @@
     top: f64,
     sends: u32,
     rate: DecayingRate,
-    /// Whether only trees are admitted that can be completed, so that none is kept from its retries by its rank: calls of
-    /// calls are mostly of an unknown rank.
-    planned: bool,
     /// Whether a tree within the limit found the budget empty since the last step.
     exhausted: bool,
     /// Steps in a row that lowered the limit, if negative, or raised it.
@@ -178,7 +175,6 @@
             top: MIN_LIMIT,
             sends: 0,
             rate: DecayingRate::new(RATE_TIME_CONSTANT, now),
-            planned: false,
             exhausted: false,
             streak: 0,
         }
@@ -213,14 +209,9 @@
         self.follow_shedding(now);
     }
 
-    /// Changes whether only trees are admitted that can be completed.
-    pub fn set_planned(&mut self, planned: bool) {
-        self.planned = planned;
-    }
-
     /// Whether a tree of this rank gets retries although others don't.
     pub fn prefers(&self, rank: Rank) -> bool {
-        !self.planned && self.limit.is_finite() && f64::from(rank.0) <= self.limit
+        self.limit.is_finite() && f64::from(rank.0) <= self.limit
     }
 
     /// Takes a retry from the budget, if one is left for a tree of this rank.
@@ -230,7 +221,7 @@
             windowed.shedding.record_shed(now);
         }
         self.follow_shedding(now);
-        if f64::from(rank.0) > self.limit && !self.planned {
+        if f64::from(rank.0) > self.limit {
             return false;
         }
         let max = self.max_tokens(now);
--- a/components/mesh/src/decide/budgets.rs
+++ b/components/mesh/src/decide/budgets.rs
@@ -1,6 +1,6 @@
 //! Retry budgets of a node, by called service.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -48,15 +48,6 @@
         self.by_service.values_mut().for_each(|budget| budget.set_allowance(allowance));
     }
 
-    /// Takes note of the services for which only trees are admitted that can be completed: all of their calls get
-    /// retries, whatever their rank.
-    pub fn set_planned<'a>(&mut self, services: impl Iterator<Item = &'a Arc<str>>) {
-        let planned: HashSet<&Arc<str>> = services.collect();
-        for (service, budget) in &mut self.by_service {
-            budget.set_planned(planned.contains(service));
-        }
-    }
-
     /// Counts a first attempt of a tree's call; `calls` is whether the service's upstreams make calls.
     pub fn record_send(&mut self, service: &Arc<str>, calls: bool, rank: Rank, now: Instant) {
         self.budget(service, now).record_send(calls, rank, now);
--- a/components/mesh/src/decide/trees.rs
+++ b/components/mesh/src/decide/trees.rs
@@ -150,11 +150,6 @@
         Self { ratio: Some(ratio), ..Self::default() }
     }
 
-    /// Services that shed calls, for which only trees are admitted that can be completed.
-    pub fn shedding(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.services.iter().filter(|(_, learned)| learned.shedding).map(|(service, _)| service)
-    }
-
     /// Learns from the sums of all nodes, and returns the shares of classes whose trees can't all be completed.
     /// `classes` are those of clients with their offered rates, most urgent first.
     pub fn limit(
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -359,9 +359,7 @@
     let before = traffic::format_shares(&traffic.admission, &priorities);
     traffic.plan(&demand, &priorities, shared.now());
     let shares = traffic::format_shares(&traffic.admission, &priorities);
-    let shedding: Vec<Arc<str>> = traffic.admission.shedding().cloned().collect();
     drop(traffic);
-    lock(&shared.budgets).set_planned(shedding.iter());
     locality::update(shared, &demand);
     if before != shares {
         let loads = traffic::format_loads(&demand);
