--- a/components/mesh/src/decide.rs
+++ b/components/mesh/src/decide.rs
@@ -28,4 +28,3 @@
 pub mod shedding;
 pub mod slow_start;
 pub mod split;
-pub mod trees;
--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -13,7 +13,6 @@
 use super::demand::Demand;
 use super::fairness::Division;
 use super::members::Rates;
-use super::trees::Trees;
 
 /// Share of a service's slots that is allocated; the rest absorbs bursts.
 const ALLOCATED_SHARE: f64 = 0.92;
@@ -57,8 +56,6 @@
     divisions: BTreeMap<Arc<str>, Division>,
     /// Whether a service is so loaded that a part may soon have to be refused.
     loaded: bool,
-    /// Trees that can be completed at services that shed calls.
-    trees: Trees,
     /// Routes that upstreams call.
     internal: BTreeSet<Arc<str>>,
     /// Services whose upstreams make calls.
@@ -66,11 +63,6 @@
 }
 
 impl Admission {
-    /// All requests are admitted; `ratio` is the retries per request that the deployment allows.
-    pub fn with_retries(ratio: f64) -> Self {
-        Self { trees: Trees::new(ratio), ..Self::default() }
-    }
-
     /// Recomputes the shares of all classes; `priorities` gives the priority of each route.
     pub fn plan(&mut self, demand: &Demand, priorities: &BTreeMap<Arc<str>, u8>, now: Instant) {
         demand.update_internal_routes(&mut self.internal);
@@ -82,7 +74,7 @@
         self.averages.update(demand, now);
         self.estimate_needs(demand, &offered, &mut capacity);
         let mut routes: Vec<Arc<str>> =
-            offered.keys().filter(|route| !self.is_internal(route)).cloned().collect();
+            offered.into_keys().filter(|route| !self.is_internal(route)).collect();
         let priority = |route: &Arc<str>| class::priority(route, priorities);
         routes.sort_by_key(|route| priority(route));
         self.shares = routes.iter().map(|route| (route.clone(), 0.0)).collect();
@@ -93,12 +85,6 @@
             self.allocate(&rest[..same], 1.0 - BASE_SHARE, &mut capacity);
             rest = &rest[same..];
         }
-        let classes: Vec<(Arc<str>, f64)> =
-            routes.iter().map(|class| (class.clone(), offered[class])).collect();
-        let limits = self.trees.limit(&demand.calls, &demand.admitted, &classes, now);
-        for (class, limit) in limits {
-            self.shares.entry(class).and_modify(|share| *share = share.min(limit));
-        }
         self.loaded = demand.is_loaded(IDLE_LOAD);
         let reduced = demand.tenants.iter().filter(|(class, _)| !self.is_full(class));
         self.divisions = reduced
--- a/components/mesh/src/decide/budget.rs
+++ b/components/mesh/src/decide/budget.rs
@@ -34,7 +34,7 @@
 
 /// Share of the deployment's ratio that nodes allow for services whose upstreams make no calls, and for those whose
 /// upstreams do: the proportions of the ratios above, less a tenth for load that moves between nodes.
-pub const LEAF_SHARE: f64 = 0.9 * LEAF_RATIO / 0.2;
+const LEAF_SHARE: f64 = 0.9 * LEAF_RATIO / 0.2;
 const CALLING_SHARE: f64 = 0.9 * CALLING_RATIO / 0.2;
 /// Rate at which retries are earned, relative to one that fills the window evenly, so that a service that sheds for less
 /// than a window can use all of it.
--- a/components/mesh/src/decide/demand.rs
+++ b/components/mesh/src/decide/demand.rs
@@ -8,7 +8,6 @@
 use super::class;
 use super::fairness::{self, TenantRates};
 use super::members::{Measurements, Rates, Record, UpstreamState};
-use super::trees::{self, Calls};
 
 /// Average rate per service, in requests per second, from which a route is unlikely to be absent at one by chance.
 const MIN_RATE: f64 = 4.0;
@@ -37,9 +36,6 @@
     /// Root requests per second of the heaviest tenants, by class.
     #[serde(default, skip_serializing_if = "TenantRates::is_empty")]
     pub tenants: TenantRates,
-    /// Calls by service, where the deployment states bounds for retries.
-    #[serde(default, skip_serializing_if = "Calls::is_empty")]
-    pub calls: Calls,
 }
 
 impl Demand {
@@ -49,7 +45,6 @@
         add_rates(&mut self.admitted, &measurements.admitted);
         add_rates(self.used.entry(record.service.clone()).or_default(), &measurements.used);
         self.add_tenants(&measurements.tenants);
-        trees::add(&mut self.calls, &measurements.calls);
         if record.state == UpstreamState::Ready {
             let load = measurements.load();
             let backlog = f64::from(load.waiting) * load.held_secs();
@@ -70,7 +65,6 @@
         add_rates(&mut self.slots, &other.slots);
         add_rates(&mut self.backlog, &other.backlog);
         self.add_tenants(&other.tenants);
-        trees::add(&mut self.calls, &other.calls);
     }
 
     fn add_tenants(&mut self, tenants: &TenantRates) {
@@ -82,7 +76,6 @@
     /// Rounds all figures to hundredths, as sums of rounded figures have many digits, and drops the lightest tenants.
     pub fn round(&mut self) {
         fairness::trim(&mut self.tenants);
-        trees::round(&mut self.calls);
         let nested = self.arrivals.values_mut().chain(self.used.values_mut());
         let rates = nested.chain([&mut self.admitted, &mut self.slots, &mut self.backlog]);
         for rate in rates.flat_map(|rates| rates.values_mut()) {
@@ -94,7 +87,7 @@
     pub fn is_plausible(&self) -> bool {
         let nested = self.arrivals.values().chain(self.used.values()).chain(self.tenants.values());
         let mut rates = nested.chain([&self.admitted, &self.slots, &self.backlog]);
-        rates.all(is_plausible) && trees::is_plausible(&self.calls)
+        rates.all(is_plausible)
     }
 
     /// Requests per second that arrived, by route.
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -13,7 +13,6 @@
 use super::fairness::TenantRates;
 use super::queue::Load;
 use super::service_time::ServiceTime;
-use super::trees::{self, Calls};
 use crate::platform::StoreEpoch;
 
 /// Time without updates of a node after which calls avoid it.
@@ -190,9 +189,6 @@
     /// Root requests per second of the heaviest tenants, by class.
     #[serde(default, skip_serializing_if = "TenantRates::is_empty")]
     pub tenants: TenantRates,
-    /// Calls that it sends, by service, where the deployment states bounds for retries.
-    #[serde(default, skip_serializing_if = "Calls::is_empty")]
-    pub calls: Calls,
     /// Whether its last read of the store failed.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub store_lost: bool,
@@ -226,7 +222,6 @@
                 .service
                 .is_none_or(|(run, percent, age)| ServiceTime::checked(run, percent, age).is_some())
             && self.rate.is_none_or(|(rate, tokens)| rate >= 0.0 && tokens.is_finite())
-            && trees::is_plausible(&self.calls)
             && rates.into_iter().chain(self.tenants.values()).all(demand::is_plausible)
     }
 
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -155,7 +155,7 @@
             splits: Mutex::default(),
             aggregates: Mutex::default(),
             locality: Mutex::default(),
-            traffic: Mutex::new(Traffic::with_retries(settings.retries)),
+            traffic: Mutex::new(Traffic::new()),
             suspects: Mutex::new(SuspectTable::with_trial_spread(rand::random_range(0.0..1.0))),
             quotas,
             exchange_now: Notify::new(),
--- a/components/mesh/src/process/traffic.rs
+++ b/components/mesh/src/process/traffic.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, Instant};
 
 use crate::decide::admission::Admission;
-use crate::decide::budgets::RetryBounds;
 use crate::decide::class;
 use crate::decide::demand::Demand;
 use crate::decide::fairness::{TenantRates, Tenants};
@@ -13,7 +12,6 @@
 use crate::decide::meter::DecayingRate;
 use crate::decide::queue::Load;
 use crate::decide::returning::Returning;
-use crate::decide::trees::CallMeter;
 
 /// Time constant of the decaying rates.
 const RATE_TIME_CONSTANT: Duration = Duration::from_millis(800);
@@ -30,8 +28,6 @@
     admitted: DecayingRates,
     used: DecayingRates,
     tenants: Tenants,
-    /// Calls that this node sends; none if the deployment states no bounds for retries.
-    calls: Option<CallMeter>,
     /// Recognises callers that were refused before.
     returning: Returning,
     /// When the shares were computed.
@@ -61,30 +57,6 @@
         name
     }
 
-    /// No measurements; `retries` are the bounds of the deployment.
-    pub fn with_retries(retries: Option<RetryBounds>) -> Self {
-        let Some(bounds) = retries else { return Self::default() };
-        let admission = Admission::with_retries(bounds.ratio);
-        Self { calls: Some(CallMeter::default()), admission, ..Self::default() }
-    }
-
-    /// Counts the first attempt of a tree's call to a service; returns whether the service's upstreams make calls.
-    pub fn record_call(&mut self, service: &Arc<str>, class: &Arc<str>, now: Instant) -> bool {
-        let calls = self.admission.makes_calls(service);
-        if let Some(meter) = self.calls.as_mut().filter(|_| !calls) {
-            meter.record_first(service, class, now);
-        }
-        calls
-    }
-
-    /// Counts an attempt that a service shed.
-    pub fn record_shed(&mut self, service: &Arc<str>, retried: bool, now: Instant) {
-        let calls = self.admission.makes_calls(service);
-        if let Some(meter) = self.calls.as_mut().filter(|_| !calls) {
-            meter.record_shed(service, retried, now);
-        }
-    }
-
     /// Counts a request from a caller or the upstream.
     pub fn record_arrival(&mut self, route: &Arc<str>, now: Instant) {
         add(&mut self.arrived, route, 1.0, now);
@@ -146,7 +118,6 @@
             admitted: rates(&self.admitted, now),
             used: rates(&self.used, now),
             tenants: self.tenant_rates(now),
-            calls: self.calls.as_ref().map(|calls| calls.report(now)).unwrap_or_default(),
             ..Measurements::default()
         }
     }
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -76,9 +76,8 @@
     head: &RequestHead,
     body: &RequestBody,
 ) -> Forwarded<P> {
+    let calls = lock(&shared.traffic).admission.makes_calls(&routed.call.service);
     let now = shared.now();
-    let (service, class) = (&routed.call.service, &routed.call.root.route);
-    let calls = lock(&shared.traffic).record_call(service, class, now);
     let rank = routed.call.root.rank();
     lock(&shared.budgets).record_send(&routed.call.service, calls, rank, now);
     let refusal = Refusal::new(RefusalReason::NoUpstream);
@@ -201,8 +200,6 @@
         let sent = self.sent.min(max_upstreams.saturating_sub(1));
         self.again = self.shed < MAX_SHED && self.take_retry(target, "shed", sent);
         let granted = self.again;
-        let service = &self.routed.call.service;
-        lock(&self.shared.traffic).record_shed(service, granted, self.shared.now());
         self.again &= !nodes_left || !self.has_other_node();
         granted
     }
--- a/components/mesh/tests/retry_trees.rs
+++ b/components/mesh/tests/retry_trees.rs
@@ -147,7 +147,7 @@
 
 /// Urgent trees that are seen through during the shedding, of those that start in it. Trees arrive whatever becomes of
 /// others, so that calls become fewer when trees fail.
-fn play_arrivals(mut node: Node, seed: u64, admitted: [f64; 2]) -> [u32; 2] {
+fn play_arrivals(mut node: Node, seed: u64) -> [u32; 2] {
     let mut random = Random(seed);
     let mut trees: Vec<(Instant, Tree, bool)> = Vec::new();
     let (start, step) = (node.now, Duration::from_millis(1));
@@ -159,11 +159,7 @@
             let tree = Tree::start(&mut random);
             let counted = tree.calls == 8 && node.now >= shed_from;
             counts[0] += u32::from(counted);
-            let share =
-                if node.now < shed_from { 1.0 } else { admitted[usize::from(tree.calls == 4)] };
-            if random.next() < share {
-                trees.push((node.now, tree, counted));
-            }
+            trees.push((node.now, tree, counted));
         }
         let mut pending = Vec::new();
         for (at, mut tree, counted) in std::mem::take(&mut trees) {
@@ -193,31 +189,10 @@
     let (mut whole, mut bounded) = (0, 0);
     for seed in 1..=20 {
         let now = Instant::now();
-        whole += play_arrivals(Node::start(), seed, [1.0; 2])[1];
+        whole += play_arrivals(Node::start(), seed)[1];
         let node = Node { budget: Budget::bounded(BOUNDS, now), now };
-        bounded += play_arrivals(node, seed, [1.0; 2])[1];
+        bounded += play_arrivals(node, seed)[1];
     }
     println!("{whole} urgent trees without a window, {bounded} with one");
     expect_that!(bounded, ge(whole + whole / 2));
 }
-
-/// Compares the trees that the model of the admission plan admits with those that the budget sees through. Guards against
-/// a model that admits so few trees that less are seen through than without it.
-#[gtest]
-fn admitting_what_the_retries_suffice_for_completes_no_fewer_trees() {
-    let calls = TREES_PER_SEC * (8.0 / 3.0 + 8.0 / 3.0);
-    let needed = TREES_PER_SEC / 3.0 * 8.0 * SHED_SHARE / (1.0 - SHED_SHARE);
-    let share = 0.9 * RATIO * calls / needed;
-    let (mut all, mut some) = (0, 0);
-    for seed in 1..=20 {
-        let node = || {
-            let now = Instant::now();
-            Node { budget: Budget::bounded(BOUNDS, now), now }
-        };
-        all += play_arrivals(node(), seed, [1.0; 2])[1];
-        some += play_arrivals(node(), seed, [share, 0.05])[1];
-    }
-    let model = 20.0 * TREES_PER_SEC / 3.0 * SHED_TIME.as_secs_f64() * share;
-    println!("model {model:.0} urgent trees, {all} if all are admitted, {some} if the model's are");
-    expect_that!(f64::from(some), ge(0.9 * f64::from(all)));
-}
