--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -9,6 +9,10 @@
 const CAPACITY_PART: f64 = 0.5;
 /// Smallest burst, as a part of what the rate allows in a window: requests arrive in groups.
 const MIN_BURST_PART: f64 = 0.2;
+/// Part of the burst that is given as rate, spread over the window: every window may hold the whole burst, and a tenant
+/// that sends more than its rate all the time would get it once. What one window holds stays the same. The capacity
+/// keeps the tokens that are granted in the time for which they are valid.
+const SPREAD_PART: f64 = 0.6;
 /// Highest rate and capacity; larger quotas are cut to it, so that sums stay exact.
 const MAX_TOKENS: f64 = 1e12;
 
@@ -43,7 +47,10 @@
         // Without a burst there would be no token to grant: a part of the rate is given as a burst.
         let base = burst.max(MIN_BURST_PART * rate * window);
         let rate = if base > burst { rate - (base - burst) / window } else { rate };
-        Self { rate, capacity: base + CAPACITY_PART * excess }
+        let capacity = base + CAPACITY_PART * excess;
+        let spare = (capacity - rate * GRANT.as_secs_f64()).max(0.0);
+        let spread = spare.min(SPREAD_PART * base);
+        Self { rate: rate + spread / window, capacity: capacity - spread }
     }
 }
 
