--- a/components/mesh/src/configuration.rs
+++ b/components/mesh/src/configuration.rs
@@ -92,7 +92,7 @@
 }
 
 /// A validated configuration.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Configuration {
     /// Version number; only increases.
     pub version: u64,
@@ -106,6 +106,16 @@
     pub digest: Digest,
 }
 
+impl fmt::Debug for Configuration {
+    /// Without the document, which holds the keys of tenants.
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { version, digest, routes, tenants, .. } = self;
+        let mut out = out.debug_struct("Configuration");
+        out.field("version", version).field("digest", digest);
+        out.field("routes", routes).field("tenants", tenants).finish_non_exhaustive()
+    }
+}
+
 impl Configuration {
     /// Groups the routes by host, longest prefix first.
     pub fn new(
--- a/components/mesh/src/decide/admission.rs
+++ b/components/mesh/src/decide/admission.rs
@@ -148,6 +148,11 @@
         self.internal.contains(class::parse(name).0)
     }
 
+    /// Whether upstreams of the service are known to make calls.
+    pub fn is_calling(&self, service: &Arc<str>) -> bool {
+        self.calling.contains(service)
+    }
+
     /// Whether upstreams of the service make calls; true while no internal route is known.
     pub fn makes_calls(&self, service: &Arc<str>) -> bool {
         self.internal.is_empty() || self.calling.contains(service)
--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -86,7 +86,7 @@
     /// Incarnations of the upstream that announced that they are leaving, for later incarnations of the node.
     #[serde(rename = "departed", default, skip_serializing_if = "Vec::is_empty")]
     pub departures: Vec<Departure>,
-    /// Whether the process is stopping: it takes on no duties for other nodes any more.
+    /// Whether the process is stopping: it leads no quotas any more, and its share is free once it is gone.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub stopping: bool,
 }
--- a/components/mesh/src/process/announced.rs
+++ b/components/mesh/src/process/announced.rs
@@ -38,8 +38,8 @@
     let answer = Answer { announced, sent_at, ran };
     let (before, after) = shared.limiter.record_answer(answer, shared.now());
     rate_limit_changed(shared, &upstream.id, before, after, "answer");
-    let calls = lock(&shared.traffic).admission.makes_calls(&shared.settings.service);
-    if !ran && decide::is_own_failure(not_run, calls) {
+    let calls = || lock(&shared.traffic).admission.is_calling(&shared.settings.service);
+    if !ran && decide::is_own_failure(not_run, calls()) {
         slow_start::record_failure(shared, upstream, Failure::Failed, sent_at);
     }
     if let Some(factor) = reported_load(shared, &head.headers).and_then(|load| load.factor) {
--- a/components/mesh/src/process/locality.rs
+++ b/components/mesh/src/process/locality.rs
@@ -32,9 +32,11 @@
     };
     let mut calls: BTreeMap<Arc<str>, Names> = BTreeMap::new();
     for (service, route) in demand.called_routes() {
-        let targets = internal.get(route).into_iter().flat_map(|services| services.iter());
-        let targets = targets.filter(|target| target.weight > 0);
-        let called = targets.map(|target| target.service.clone());
+        let services = internal.get(route).map(|services| &services[..]).unwrap_or_default();
+        let total: u64 = services.iter().map(|target| u64::from(target.weight)).sum();
+        // A service that gets the smaller part of the calls is not worth moving whole requests for.
+        let main = services.iter().filter(|target| u64::from(target.weight) * 2 > total);
+        let called = main.map(|target| target.service.clone());
         calls.entry(service.clone()).or_default().extend(called);
     }
     calls
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -146,8 +146,10 @@
         shared.log(&Event::Stopping { running: load.running, waiting: load.waiting });
         shared.stopping.send_replace(true);
         shared.quotas.stop(shared.moment());
-        lock(&shared.members).update_own(|own| own.stopping = true);
-        shared.exchange_now.notify_one();
+        if shared.quotas.is_enabled() {
+            lock(&shared.members).update_own(|own| own.stopping = true);
+            shared.exchange_now.notify_one();
+        }
         let limit = shared.settings.stop_timeout.saturating_sub(CLOSE_RESERVE);
         let now = shared.now();
         let last_answers = now + limit;
--- a/components/mesh/src/process/quotas.rs
+++ b/components/mesh/src/process/quotas.rs
@@ -21,7 +21,7 @@
 use super::upstream::Moment;
 use crate::bodies::RequestBody;
 use crate::configuration::{Configuration, Tenant};
-use crate::decide::members::{Record, UpstreamState};
+use crate::decide::members::Record;
 use crate::platform::Platform;
 use crate::request::outcome::{Refusal, RefusalReason};
 use crate::request::peer::PEER_MAX_IDLE;
@@ -134,8 +134,8 @@
         state.member.set_limits(limits, self.moment(now));
     }
 
-    /// Takes over what is known of the other nodes. `leaders` are the delegates of the failure domains, that of this
-    /// node's first and the others by their distance. Returns what to log.
+    /// Takes over what is known of the other nodes. `leaders` are the quota leaders of the failure domains, that of
+    /// this node's first and the others by their distance. Returns what to log.
     pub fn update(
         &self,
         nodes: Vec<(Arc<str>, Sighting)>,
@@ -380,7 +380,8 @@
     let (nodes, has_others) = {
         let table = lock(&shared.members);
         let nodes = table.all(now).map(|(member, silent)| {
-            let leaving = member.record.state == UpstreamState::Leaving;
+            // A node whose upstream is leaving may run on, and use its share.
+            let leaving = member.record.stopping;
             (member.record.node.clone(), Sighting { silent, leaving })
         });
         (nodes.collect(), table.has_others())
--- a/components/mesh/src/process/serve.rs
+++ b/components/mesh/src/process/serve.rs
@@ -158,7 +158,7 @@
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
-        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES) + HEAD_MARGIN_BYTES);
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES).saturating_add(HEAD_MARGIN_BYTES));
     let served = graceful.watch(builder.serve_connection(stream, service));
     tokio::spawn(async move {
         // A failed connection is not reported: each request on it has its own outcome.
--- a/components/mesh/src/process/traffic.rs
+++ b/components/mesh/src/process/traffic.rs
@@ -42,22 +42,15 @@
         Self::default()
     }
 
-    /// Counts a request of a route, whose usual priority is `usual`, and returns the name of its class. Calls are of the
-    /// class that has the route's name.
-    pub fn classify(
-        &mut self,
-        route: &Arc<str>,
-        usual: u8,
-        priority: u8,
-        now: Instant,
-    ) -> Arc<str> {
+    /// The name of the class of a route's request; `usual` is the priority of the route. Calls are of the class that has
+    /// the route's name.
+    pub fn classify(&mut self, route: &Arc<str>, usual: u8, priority: u8) -> Arc<str> {
         let priority = if self.admission.is_internal(route) { usual } else { priority };
-        let name = self.classes.name(route, usual, priority);
-        self.record_arrival(&name, now);
-        name
+        self.classes.name(route, usual, priority)
     }
 
-    /// Counts a request from a caller or the upstream.
+    /// Counts a request from a caller or the upstream; one of a tenant once its quota allows it, as the plan would make
+    /// room for requests that are refused.
     pub fn record_arrival(&mut self, route: &Arc<str>, now: Instant) {
         add(&mut self.arrived, route, 1.0, now);
     }
--- a/components/mesh/src/request/answer.rs
+++ b/components/mesh/src/request/answer.rs
@@ -70,15 +70,19 @@
     id: &HeaderValue,
 ) -> Response<Payload<P>> {
     let refusal = Refusal { reason: RefusalReason::Unconfirmed, wait: SHORT_RETRY_AFTER };
-    let retry_after = retry_after(refusal.wait, routed::caller_timeout(shared, route, parts));
+    let retry_after = retry_after(&refusal, routed::caller_timeout(shared, route, parts));
     refused(shared, id, (&route.name, None), &refusal, retry_after, 0)
 }
 
-/// Delay before a refused caller should retry: the expected wait, with jitter so that callers don't return all at once.
-pub fn retry_after(wait: Duration, caller_timeout: Duration) -> Duration {
+/// Delay before a refused caller should retry: the expected wait, with jitter so that callers don't return all at once. A
+/// token of a quota is there after its wait and not before.
+pub fn retry_after(refusal: &Refusal, caller_timeout: Duration) -> Duration {
     let max = caller_timeout.mul_f64(MAX_RETRY_FRACTION);
-    let wait = wait.max(MIN_RETRY_AFTER).min(max);
-    wait.mul_f64(rand::random_range(0.7..1.0))
+    if refusal.reason == RefusalReason::Quota {
+        let wait = refusal.wait.max(MIN_RETRY_AFTER).mul_f64(rand::random_range(1.0..1.3));
+        return wait.min(max);
+    }
+    refusal.wait.max(MIN_RETRY_AFTER).min(max).mul_f64(rand::random_range(0.7..1.0))
 }
 
 /// Expected time until a slot is free: the guard's estimate, or the return of an upstream that left.
@@ -110,10 +114,8 @@
     match result {
         Forwarded::Answer { head, body } => answered(shared, *head, body),
         Forwarded::Refused { refusal, attempts } => {
-            let retry_after = retry_after(
-                expected_wait(&refusal, shared.settings.heartbeat_interval),
-                routed.caller_timeout,
-            );
+            let wait = expected_wait(&refusal, shared.settings.heartbeat_interval);
+            let retry_after = retry_after(&Refusal { wait, ..refusal }, routed.caller_timeout);
             let subject = (&*routed.route.name, routed.tenant.as_deref());
             refused(shared, &head.id, subject, &refusal, retry_after, attempts)
         }
--- a/components/mesh/src/request/entry.rs
+++ b/components/mesh/src/request/entry.rs
@@ -88,7 +88,7 @@
             answer::respond(&shared, &routed, &head, result)
         }
         Err(refusal) => {
-            let retry_after = answer::retry_after(refusal.wait, routed.caller_timeout);
+            let retry_after = answer::retry_after(&refusal, routed.caller_timeout);
             let subject = (&*routed.route.name, routed.tenant.as_deref());
             answer::refused(&shared, &head.id, subject, &refusal, retry_after, 0)
         }
@@ -161,7 +161,15 @@
     started: Instant,
 ) -> Result<Option<Permit>, Refusal> {
     let permit = match &routed.tenant {
-        Some(tenant) => quotas::acquire(shared, tenant, routed.call.deadline).await?,
+        Some(tenant) => {
+            let permit = quotas::acquire(shared, tenant, routed.call.deadline).await?;
+            if !routed.call.internal {
+                let mut traffic = lock(&shared.traffic);
+                traffic.record_arrival(&routed.call.root.route, started);
+                traffic.record_tenant(&routed.call.root.route, &tenant.name, started);
+            }
+            permit
+        }
         None => None,
     };
     match admit_root(shared, routed, started) {
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -159,7 +159,8 @@
                 } else {
                     self.retry_shed(target)
                 };
-                if !retried {
+                // An earlier upstream may have run it, which this answer would deny.
+                if !retried && self.fault.is_none() {
                     return Some((head, body));
                 }
             }
@@ -288,8 +289,8 @@
     }
 }
 
-/// The first answer of two sends, and whether it is from the second. Without an answer, a refusal counts only if both
-/// refused, as the other upstream may have run the request.
+/// The first answer of two sends, and whether it is from the second. Without an answer, a refusal counts only if neither
+/// send failed, as the other upstream may have run the request.
 async fn first_answer<P: Platform>(
     mut first: Pin<&mut impl Future<Output = Outcome<P>>>,
     mut second: Pin<&mut impl Future<Output = Outcome<P>>>,
@@ -310,7 +311,10 @@
             (first.await, outcome)
         }
     };
-    let from_second = !is_answer(&one) && (is_answer(&two) || matches!(one, Outcome::Refused(_)));
+    let failed = |outcome: &Outcome<P>| matches!(outcome, Outcome::Failed(_));
+    let refused = matches!(one, Outcome::Refused(_));
+    let from_second =
+        !is_answer(&one) && (is_answer(&two) || refused || !failed(&one) && failed(&two));
     (from_second, if from_second { two } else { one })
 }
 
--- a/components/mesh/src/request/peer.rs
+++ b/components/mesh/src/request/peer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, Request, response};
+use http::{HeaderMap, HeaderValue, Request, response};
 use hyper::body::Incoming;
 
 use super::body::{Payload, Resources};
@@ -68,7 +68,10 @@
     let in_flight = InFlight::new(shared.clone(), node.clone());
     let deadline = call.deadline.max(started) + RESPONSE_GRACE;
     let notice = shared.with_peer(node, |peer| peer.notice.map(|notice| notice.aged(started)));
-    let request = build_request(call.header(started), notice, head, body);
+    let Some(request) = build_request(call.header(started), notice, head, body) else {
+        // Without the header, the other node would take it for a message of a node.
+        return Outcome::Refused(Refusal::new(RefusalReason::Unreachable));
+    };
     let pool = &shared.peer_pool;
     let answer = pool.send(target.record.address, request, PEER_MAX_IDLE, started);
     let (response, connection) = match tokio::time::timeout_at(deadline.into(), answer).await {
@@ -215,16 +218,17 @@
     notice: Option<Notice>,
     head: &RequestHead,
     body: &RequestBody,
-) -> Request<RequestBody> {
+) -> Option<Request<RequestBody>> {
     let mut request = Request::new(body.clone());
     *request.method_mut() = head.method.clone();
     *request.uri_mut() = http::Uri::from(head.path.clone());
     *request.headers_mut() = head.headers.clone();
-    call::set_header(request.headers_mut(), call::CALL, header);
+    let header = HeaderValue::try_from(header.to_string()).ok()?;
+    request.headers_mut().insert(call::CALL, header);
     if let Some(notice) = notice {
         call::set_header(request.headers_mut(), call::NOTICE, notice);
     }
-    request
+    Some(request)
 }
 
 /// Load of a node's upstream, as a header.
--- a/components/mesh/src/request/routed.rs
+++ b/components/mesh/src/request/routed.rs
@@ -57,10 +57,10 @@
     let priority = priority(&route, tenant.as_deref());
     let (internal, class) = {
         let mut traffic = lock(&shared.traffic);
-        let class = traffic.classify(&route.name, route.priority, priority, now);
+        let class = traffic.classify(&route.name, route.priority, priority);
         let internal = traffic.admission.is_internal(&route.name);
-        if let Some(tenant) = tenant.as_ref().filter(|_| !internal) {
-            traffic.record_tenant(&class, &tenant.name, now);
+        if internal || tenant.is_none() {
+            traffic.record_arrival(&class, now);
         }
         (internal, class)
     };
--- a/components/mesh/tests/classes.rs
+++ b/components/mesh/tests/classes.rs
@@ -87,8 +87,11 @@
 #[gtest]
 fn a_class_with_the_priority_of_its_route_has_its_name() {
     let (mut traffic, now) = (Traffic::new(), Instant::now());
-    expect_that!(*traffic.classify(&name("list"), 2, 2, now), eq("list"));
-    expect_that!(*traffic.classify(&name("list"), 2, 18, now), eq("list#18"));
+    for (priority, class) in [(2, "list"), (18, "list#18")] {
+        let classified = traffic.classify(&name("list"), 2, priority);
+        expect_that!(*classified, eq(class));
+        traffic.record_arrival(&classified, now);
+    }
     let arrivals = traffic.measurements(Default::default(), now).arrivals;
     expect_that!(
         arrivals.keys().map(|name| &**name).collect::<Vec<_>>(),
--- a/components/quota/src/member.rs
+++ b/components/quota/src/member.rs
@@ -190,7 +190,8 @@
         now: Moment,
     ) {
         if let Some(purse) = self.purses.get_mut(tenant) {
-            let is_own = self.leader.as_ref() == Some(leader);
+            let lessee = self.contributor.leader();
+            let is_own = self.leader.as_ref() == Some(leader) || lessee == Some(leader);
             purse.complete(leader, response, is_own, now);
         }
     }
