--- a/components/mesh/src/connection/pool.rs
+++ b/components/mesh/src/connection/pool.rs
@@ -20,6 +20,8 @@
 use crate::bodies::RequestBody;
 
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
+/// Bytes of responses that the kernel keeps for a connection; it takes about twice as much.
+const RECEIVE_BUFFER_BYTES: usize = 128 << 10;
 /// Most interim responses (1xx) to one request; a server that sends them without end would keep the node's core busy.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
@@ -172,6 +174,8 @@
         let stream = socket::connect(self.local_address, to, self.connect_timeout)
             .await
             .map_err(|err| not_sent(err.to_string()))?;
+        // Without the bound, the kernel would keep more than the memory of the machine for callers that don't read.
+        let _ = socket::limit_receive_buffer(&stream, RECEIVE_BUFFER_BYTES);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
