--- a/components/mesh/src/request/guard.rs
+++ b/components/mesh/src/request/guard.rs
@@ -353,14 +353,12 @@
     error: &RunError,
     started: Instant,
 ) -> Outcome<P> {
-    let (reason, failure, detail) = match error {
-        RunError::NotSent(detail) => ("unsent", Some(Failure::Lost), detail.as_str()),
-        RunError::ConnectionLost(detail) => ("lost", Some(Failure::Lost), detail.as_str()),
-        RunError::Mismatch => {
-            ("foreign", None, "the response belongs to another request, or is invalid")
-        }
-        RunError::Timeout => ("late", Some(Failure::Failed), "no answer in time"),
-        RunError::Stopped => ("stopped", None, "no answer before the node had to exit"),
+    let (reason, detail) = match error {
+        RunError::NotSent(detail) => ("unsent", detail.as_str()),
+        RunError::ConnectionLost(detail) => ("lost", detail.as_str()),
+        RunError::Mismatch => ("foreign", "the response belongs to another request, or is invalid"),
+        RunError::Timeout => ("late", "no answer in time"),
+        RunError::Stopped => ("stopped", "no answer before the node had to exit"),
     };
     shared.log(&Event::UpstreamFailed {
         id: head.id.to_str().unwrap_or_default(),
@@ -369,24 +367,28 @@
         after_ms: shared.now().saturating_duration_since(started).as_millis() as u64,
     });
     shared.metrics.guard_errors.with_label_values(&[reason]).inc();
-    if let Some(failure) = failure {
-        slow_start::record_failure(shared, upstream, failure, started);
-    }
+    let failed = |failure| slow_start::record_failure(shared, upstream, failure, started);
     match error {
         RunError::NotSent(_) => {
+            failed(Failure::Lost);
             shared.upstream_pool.close_idle(shared.settings.upstream);
             Outcome::Refused(Refusal::new(RefusalReason::Unreachable))
         }
         RunError::ConnectionLost(_) => {
             let crashed =
                 socket::connect(None, shared.settings.upstream, PROBE_TIMEOUT).await.is_err();
+            // An upstream that still accepts connections has nothing to recover from, whatever became of this one.
             if crashed {
+                failed(Failure::Lost);
                 suspects::record_crash(shared, fingerprint, upstream.started_ms);
             }
             Outcome::Failed(if crashed { Fault::Crashed } else { Fault::ConnectionLost })
         }
         RunError::Mismatch => Outcome::Failed(Fault::Mismatch),
-        RunError::Timeout => Outcome::Failed(Fault::Timeout),
+        RunError::Timeout => {
+            failed(Failure::Failed);
+            Outcome::Failed(Fault::Timeout)
+        }
         RunError::Stopped => Outcome::Failed(Fault::Stopped),
     }
 }
