--- a/review/standins2.py
+++ b/review/standins2.py
@@ -220,6 +220,7 @@
         self.state = "ready"
         self.sequence = 0
         self.running = 0
+        self.ran = set()
         self.beats = None
 
     async def start(self):
@@ -268,6 +269,7 @@
                 answer = message("503 Service Unavailable", X_Not_Executed=1, X_Request_Id=rid)
             else:
                 self.running += 1
+                self.ran.add(rid)
                 self.record.run(rid, f"at {self.machine.name}")
                 try:
                     await asyncio.sleep(self.work_s)
