review/10: a request that crashes back ends, and kills of all processes

Cause: suspects are in the memory of each process only, so that nobody knows what crashed back ends once all processes were killed.

In the case a request that crashes each back end that runs it comes each 2 s, and all four processes are killed twice, 30 s apart.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
