--- a/review/standins2.py
+++ b/review/standins2.py
@@ -387,7 +387,6 @@
         self.servers = [Link(machine, self.links) for machine in self.machines]
         self.upstreams = [Upstream(machine, self.record, slots, work_s) for machine in self.machines]
         self.nodes = {}
-        self.starts = {}
 
     async def start_servers(self):
         await self.store.listen(self.store_ip, STORE_PORT)
@@ -431,7 +430,6 @@
             stdout=log, stderr=subprocess.STDOUT,
         )
         log.close()
-        self.starts[machine.name] = self.starts.get(machine.name, 0) + 1
 
     def signal(self, machine, number):
         self.nodes[machine.name].send_signal(number)
@@ -496,12 +494,10 @@
         self.deployment, self.machine, self.deadline_ms = deployment, machine, deadline_ms
         self.idle = []
         self.tasks = set()
-        self.count = 0
 
     async def send(self, path, method="GET", headers=None, body=b""):
         """Sends a request; returns its id and status, 0 if the connection ends without an answer."""
         record = self.deployment.record
-        self.count += 1
         rid = f"{random.getrandbits(64):016x}"
         head = f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {rid}\r\n"
         head += f"X-Deadline-Ms: {self.deadline_ms}\r\n"
@@ -616,7 +612,7 @@
 
 
 def main(folder, case):
-    """Runs a case: a coroutine function that takes nothing and returns a deployment's verdict."""
+    """Runs a case, a coroutine function that takes its folder and returns the exit status, and exits with that."""
 
     async def limited():
         return await asyncio.wait_for(case(folder), 115)
