Keep acknowledged departures beyond a failure domain, and doubt late heartbeats

Cause: without the store, one node of the same failure domain was enough to hold a departure; only the process that had acknowledged it wrote it to the store later; and a new process believed the first heartbeat, which was from before.

Change: a node of another failure domain has to hold it, one of this domain only while no other can be reached; it is written until the store has it, by a later process that hears of it too, and never before the record of the earlier process was read. A process that may have had a predecessor uses an upstream that started before it once a health check with its id, or heartbeats that follow the first, confirm it. The store shows a cold start, the saved state a planned one: neither waits. Delegates exchange at once with a restarted node that refuses calls for want of its upstream, so that it has the path of health checks.

Why it works: whatever is left of nodes and store tells; where nothing is left, the upstream knows that it left.

--- a/components/mesh/src/configuration.rs
+++ b/components/mesh/src/configuration.rs
@@ -99,6 +99,8 @@
     /// Limits on callers.
     pub limits: Limits,
     routes: HashMap<String, Vec<Arc<Route>>>,
+    /// Paths of health checks, by service.
+    health_paths: HashMap<String, String>,
     tenants: Option<Tenants>,
     /// The document as the operator wrote it, for nodes that can't reach the store.
     pub source: Bytes,
@@ -132,7 +134,18 @@
             group.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let digest = Digest::of(&source);
-        Self { version, limits, routes: hosts, tenants: None, source, digest }
+        let health_paths = HashMap::new();
+        Self { version, limits, routes: hosts, health_paths, tenants: None, source, digest }
+    }
+
+    /// The same with the paths of health checks, by service.
+    pub fn with_health_paths(self, paths: impl IntoIterator<Item = (String, String)>) -> Self {
+        Self { health_paths: paths.into_iter().collect(), ..self }
+    }
+
+    /// The path at which an upstream of a service answers health checks, if it is known.
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        self.health_paths.get(service).map(String::as_str)
     }
 
     /// The same with tenants, whose keys requests then need.
--- a/components/mesh/src/platform.rs
+++ b/components/mesh/src/platform.rs
@@ -136,6 +136,8 @@
     pub load: HeaderName,
     /// Set by an upstream that is leaving.
     pub leaving: HeaderFlag,
+    /// Id of the upstream that answers a health check.
+    pub upstream: HeaderName,
 }
 
 /// State that an upstream announces.
--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -10,6 +10,7 @@
 pub mod events;
 pub mod exchange;
 pub mod follow;
+pub mod health_check;
 pub mod limiter;
 pub mod locality;
 pub mod metrics;
--- a/components/mesh/src/process/control.rs
+++ b/components/mesh/src/process/control.rs
@@ -10,8 +10,8 @@
 
 use super::events::Event;
 use super::shared::{Shared, lock, state_name};
-use super::upstream::Change;
-use super::{announced, departures, slow_start};
+use super::upstream::{Change, Moment, Predecessor, Upstream};
+use super::{announced, departures, health_check, slow_start};
 use crate::decide::members::UpstreamState;
 use crate::platform::{Announcement, Heartbeat, Platform};
 
@@ -46,6 +46,9 @@
         Ok(announcement) => {
             let departs = announcement.is_departure();
             let answer = apply(&shared, announcement);
+            if lock(&shared.upstream).unconfirmed().is_some() {
+                tokio::spawn(health_check::run(shared.clone()));
+            }
             // The acknowledgement binds this machine also after its process was killed.
             if departs && answer.status().is_success() && !departures::keep(&shared).await {
                 return response(StatusCode::SERVICE_UNAVAILABLE, "the departure can't be kept");
@@ -73,11 +76,35 @@
 
 /// Applies an announcement that came directly from the upstream or with one of its answers.
 pub fn announce<P: Platform>(shared: &Shared<P>, announcement: Announcement, from: &str) {
+    update_upstream(shared, from, |upstream, now| upstream.apply(announcement, now));
+}
+
+/// Takes note that the upstream with this id said itself that it is healthy and not leaving.
+pub fn confirm_upstream<P: Platform>(shared: &Shared<P>, id: &str) {
+    update_upstream(shared, "health-check", |upstream, now| upstream.confirm(id, now));
+}
+
+/// Takes note of what is known of an earlier process of this node.
+pub fn learn_predecessor<P: Platform>(shared: &Shared<P>, predecessor: Predecessor, from: &str) {
+    update_upstream(shared, from, |upstream, now| upstream.learn_predecessor(predecessor, now));
+}
+
+/// Changes the state of the upstream, and reacts to the change.
+fn update_upstream<P: Platform>(
+    shared: &Shared<P>,
+    from: &str,
+    update: impl FnOnce(&mut Upstream, Moment) -> Change,
+) {
     let now = shared.moment();
     let (change, replaced, reported) = {
         let mut upstream = lock(&shared.upstream);
         let replaced = upstream.last_heartbeat().is_some();
-        let change = upstream.apply(announcement, now);
+        let change = update(&mut upstream, now);
+        if let (Change::Unconfirmed, Some(Heartbeat { id, sequence, .. })) =
+            (change, upstream.unconfirmed())
+        {
+            shared.log(&Event::UpstreamUnconfirmed { id, sequence: *sequence });
+        }
         let heartbeat = upstream.last_heartbeat().cloned();
         (change, replaced, heartbeat.map(|heartbeat| (heartbeat, upstream.state())))
     };
--- a/components/mesh/src/process/events.rs
+++ b/components/mesh/src/process/events.rs
@@ -135,9 +135,22 @@
         sequence: u64,
         from: &'a str,
     },
+    /// A heartbeat may have been sent before its upstream left, of which an earlier process of this node may have known.
+    UpstreamUnconfirmed {
+        id: &'a str,
+        sequence: u64,
+    },
+    /// The upstream was asked whether it is healthy and not leaving.
+    HealthChecked {
+        id: &'a str,
+        confirmed: bool,
+        /// Status of the answer; none without one.
+        status: Option<u16>,
+    },
     /// Departures were kept for later incarnations of the node.
     DeparturesKept {
-        /// The `store` or another `node`; empty if they could not be kept.
+        /// The `store`, or a `node` of another failure domain, or of this one if no other is reached; empty if they
+        /// could not be kept.
         place: &'a str,
         departures: usize,
         after_ms: u64,
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -9,6 +9,7 @@
 //! cost only a few additional messages.
 
 mod message;
+pub mod reunion;
 pub mod targets;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -184,7 +185,7 @@
         let sent = self.sent.remove(&target.node);
         let offered = sent.is_some_and(|sent| sent.configuration);
         let told = sent.map_or(0, |sent| sent.table_revision);
-        shared.kept.record_told(told);
+        shared.kept.record_told(told, target.zone == shared.settings.zone);
         let restarted = before.sent > 0 && before.incarnation != answer.incarnation;
         let (version, digests) = (answer.version, answer.digests.clone());
         let confirmed = answer.confirmed_ms;
@@ -212,7 +213,7 @@
         self.cursors.insert(target.node.clone(), cursor);
         // A node that was offered the newer configuration and still has an older one has rejected it.
         if !offered && late {
-            shared.exchange_now.notify_one();
+            shared.exchange_again(target);
         }
         let again = incomplete && self.repeated.insert(target.node.clone());
         if again { Exchanged::Again } else { Exchanged::Complete }
--- a/components/mesh/src/process/exchange/message.rs
+++ b/components/mesh/src/process/exchange/message.rs
@@ -15,12 +15,16 @@
 use crate::decide::revision::Revision;
 use crate::platform::{Platform, StoreEpoch};
 use crate::process::shared::{Shared, lock};
-use crate::process::{departures, epoch, suspects};
+use crate::process::upstream::Predecessor;
+use crate::process::{control, departures, epoch, suspects};
 
 /// Time for which a version was in force here before it is sent to another failure domain of the region, or to another
 /// region: they should have read it from the store by then.
 const DOMAIN_LATENESS: Duration = Duration::from_millis(300);
 const REGION_LATENESS: Duration = Duration::from_millis(700);
+/// Time by which a node has to have started before this one to have run beside its predecessor: nodes that were killed
+/// together also start together.
+const WITNESS_HEAD_START: Duration = Duration::from_secs(3);
 /// Most suspects in one message.
 const MAX_SUSPECTS: usize = 256;
 
@@ -165,7 +169,7 @@
         let incarnation = table.own().map_or(0, |own| own.record.incarnation);
         if seen.0 == incarnation {
             cursor.sent = seen.1;
-            shared.kept.record_told(seen.1);
+            shared.kept.record_told(seen.1, zone == shared.settings.zone);
         }
         cursor.buckets = digests.as_ref().map(|digests| table.unequal_buckets(digests));
     }
@@ -294,7 +298,8 @@
     for update in message.members {
         let node = update.node.clone();
         if let Some(record) = update.record.as_ref().filter(|record| record.node == own.node) {
-            departures::recall(shared, &record.departures, &source);
+            let from = departures::Source::Node(&source);
+            departures::recall(shared, &record.departures, from);
         }
         let load = update.measurements.as_ref().map(Measurements::load);
         let result = lock(&shared.members).merge(update, Some(&source), now);
@@ -304,6 +309,11 @@
         shared.membership_changed(result, &node, &source);
     }
     lock(&shared.members).heard_from(&source, message.incarnation, now);
+    if shared.started_ms.saturating_sub(message.incarnation)
+        >= WITNESS_HEAD_START.as_millis() as u64
+    {
+        control::learn_predecessor(shared, Predecessor::Witnessed, &source);
+    }
     if let Some(report) = message.report.filter(|_| message.zone == shared.settings.zone) {
         apply_report(shared, &source, message.incarnation, report, now);
     }
--- a/components/mesh/src/process/exchange/targets.rs
+++ b/components/mesh/src/process/exchange/targets.rs
@@ -14,8 +14,8 @@
 const REGION_ROUNDS: u64 = 2;
 /// Rounds between exchanges with a node of a failure domain or region that has been lost.
 const LOST_ROUNDS: u64 = 4;
-/// Nodes that are told of a departure that the store can't keep.
-const URGENT_TARGETS: usize = 2;
+/// Most nodes that are told of a departure that the store can't keep.
+const URGENT_TARGETS: usize = 4;
 /// Rounds between exchanges with a random node, which reconnect a membership that was partitioned.
 const RANDOM_ROUNDS: u64 = 10;
 
@@ -59,6 +59,22 @@
     present_neighbours(shared, now, |_| true).into_iter().map(|(record, _)| record).collect()
 }
 
+/// A node of each other failure domain that can be reached, those of this region first: they are not lost together.
+pub fn reachable_domains<P: Platform>(shared: &Shared<P>, now: Instant) -> Vec<Record> {
+    let own = &shared.settings;
+    let table = lock(&shared.members);
+    let peers = lock(&shared.peers);
+    let mut domains: BTreeMap<(bool, &Arc<str>), Vec<&Record>> = BTreeMap::new();
+    for (member, silent) in table.all(now) {
+        let record = &member.record;
+        let avoided = peers.get(&record.node).is_some_and(|peer| peer.is_avoided(now));
+        if record.zone != own.zone && !silent && !avoided {
+            domains.entry((record.region != own.region, &record.zone)).or_default().push(record);
+        }
+    }
+    domains.into_values().filter_map(pick).cloned().collect()
+}
+
 /// The delegates, in this node's view.
 pub struct View {
     own: Record,
@@ -178,10 +194,16 @@
         targets.extend(leader.cloned());
     }
     targets.extend(missing(shared, view));
+    targets.extend(lock(&shared.reunions).take_due());
     if shared.kept.is_urgent() {
-        let near = neighbours(shared, now);
-        let near = if near.is_empty() { view.others.clone() } else { near };
-        targets.extend(near.into_iter().take(URGENT_TARGETS));
+        let mut holders = reachable_domains(shared, now);
+        if holders.is_empty() {
+            holders = neighbours(shared, now);
+        }
+        if holders.is_empty() {
+            holders.clone_from(&view.others);
+        }
+        targets.extend(holders.into_iter().take(URGENT_TARGETS));
     }
     if duties.region && round.is_multiple_of(LOST_ROUNDS) {
         targets.extend(view.lost().cloned());
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -185,9 +185,8 @@
                 .map(|own| Record { saved_upstream: saved, ..own.record.clone() })
         };
         let save = async {
-            let Some(record) = record.filter(|record| record.saved_upstream.is_some()) else {
-                return;
-            };
+            let record = record.filter(|record| record.saved_upstream.is_some());
+            let Some(record) = record.filter(|_| shared.kept.is_restored()) else { return };
             let Ok(bytes) = serde_json::to_vec(&record) else { return };
             let asked = shared.now();
             let answer = shared.platform.put_record(&shared.settings.node, bytes).await;
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -15,6 +15,7 @@
 use super::confirmation::Confirmation;
 use super::departures::Kept;
 use super::events::{Event, Sink};
+use super::exchange::reunion::Reunions;
 use super::follow::FollowState;
 use super::limiter::Limiter;
 use super::metrics::Metrics;
@@ -70,8 +71,12 @@
     pub sink: Sink,
     /// Limits the requests that run at the upstream.
     pub limiter: Limiter,
+    /// Wall-clock time of the process' start, in milliseconds.
+    pub started_ms: u64,
     /// State of the upstream.
     pub upstream: Mutex<Upstream>,
+    /// Whether a task checks the health of the upstream.
+    pub checking_health: AtomicBool,
     /// Requests running at the upstream, to find the parents of its calls.
     pub parents: Mutex<ParentTracker<Root>>,
     /// Longest time limits of the upstream's calls, by called service.
@@ -108,6 +113,8 @@
     pub quotas: Quotas,
     /// Triggers an exchange with other nodes.
     pub exchange_now: Notify,
+    /// Restarted nodes that need an exchange.
+    pub reunions: Mutex<Reunions>,
     /// Requests of callers and the upstream that have no answer yet.
     pub open_requests: AtomicU32,
     /// What becomes of requests when the node stops.
@@ -141,15 +148,17 @@
         let now = platform.clock().now();
         let incarnation = millis(platform.clock().wall_time());
         let (interval, drain_time) = (settings.heartbeat_interval, settings.drain_time);
+        let upstream = Upstream::new(interval, drain_time, now).with_predecessor(incarnation);
         let own = first_record(&settings, incarnation);
         let quotas = Quotas::new(&settings, Moment { monotonic: now, wall_ms: incarnation });
-        let outgoing = settings.descriptors.map(max_outgoing);
         let bodies = Arc::new(bounds::Budget::new(settings.memory_bytes));
         Ok(Self {
             metrics: Metrics::new()?,
             sink,
             limiter: Limiter::default(),
-            upstream: Mutex::new(Upstream::new(interval, drain_time, now)),
+            started_ms: incarnation,
+            upstream: Mutex::new(upstream),
+            checking_health: AtomicBool::new(false),
             parents: Mutex::new(ParentTracker::new(now)),
             call_limits: Mutex::default(),
             clients: Arc::new(Connections::new(bodies.clone())),
@@ -157,10 +166,7 @@
             logged_bounds: LoggedBounds::default(),
             bodies,
             upstream_pool: Arc::new(Pool::new(None, UPSTREAM_CONNECT_TIMEOUT)),
-            peer_pool: Arc::new(
-                Pool::new(Some(settings.listen.peers.ip()), PEER_CONNECT_TIMEOUT)
-                    .with_limit(outgoing),
-            ),
+            peer_pool: Arc::new(peer_pool(&settings)),
             members: Mutex::new(Table::new(own, now)),
             peers: Mutex::default(),
             budgets: Mutex::new(Budgets::new(settings.retries)),
@@ -171,6 +177,7 @@
             suspects: Mutex::new(SuspectTable::with_trial_spread(rand::random_range(0.0..1.0))),
             quotas,
             exchange_now: Notify::new(),
+            reunions: Mutex::default(),
             open_requests: AtomicU32::new(0),
             shutdown: Shutdown::default(),
             stopping: watch::Sender::new(false),
@@ -396,6 +403,20 @@
         Some((Target { record: record.clone(), local }, has_more))
     }
 
+    /// Reacts to a node that refused a call as it has not heard of its upstream, unlike this node: it was restarted.
+    pub fn record_unknown_upstream(&self, node: &Record) {
+        let is_delegate = lock(&self.aggregates).duties.domain;
+        if is_delegate && lock(&self.reunions).record_refusal(node, self.now()) {
+            self.exchange_now.notify_one();
+        }
+    }
+
+    /// Has a node sent the configuration that it lacks.
+    pub fn exchange_again(&self, node: &Record) {
+        lock(&self.reunions).continue_with(node);
+        self.exchange_now.notify_one();
+    }
+
     /// Calls `change` on the load and health of a node.
     pub fn with_peer<T>(&self, node: &Arc<str>, change: impl FnOnce(&mut Peer) -> T) -> T {
         let now = self.now();
@@ -436,6 +457,12 @@
     }
 }
 
+/// Connections to other nodes, none so far.
+fn peer_pool(settings: &NodeSettings) -> Pool {
+    let outgoing = settings.descriptors.map(max_outgoing);
+    Pool::new(Some(settings.listen.peers.ip()), PEER_CONNECT_TIMEOUT).with_limit(outgoing)
+}
+
 /// The record of a node whose process has just started.
 fn first_record(settings: &NodeSettings, incarnation: u64) -> Record {
     Record {
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -9,6 +9,7 @@
 use super::backoff::Backoff;
 use super::events::Event;
 use super::shared::{Shared, lock};
+use super::upstream::Predecessor;
 use super::{announced, control, departures, epoch};
 use crate::decide::members::{MAX_STORED_INCARNATION, MemberUpdate, Merged, Record, SavedUpstream};
 use crate::decide::notice::Notice;
@@ -38,9 +39,14 @@
         match result {
             Ok(records) => {
                 backoff.succeeded(&shared, "records");
+                let is_first = !has_key(&records, &shared.settings.node);
                 let (records, skipped) = decode_records(&shared, &records);
                 restore_departures(&shared, &records);
                 restore_upstream(&shared, &records, epoch.valid());
+                if is_first {
+                    control::learn_predecessor(&shared, Predecessor::Absent, "store");
+                }
+                shared.kept.record_restored();
                 merge_records(&shared, records, skipped, epoch.valid());
                 break;
             }
@@ -86,6 +92,12 @@
     *shared.store_epoch.borrow()
 }
 
+/// Whether there is any record with this key, of whatever content.
+fn has_key(read: &KeyedRecords, key: &str) -> bool {
+    let mut skipped = read.skipped.iter();
+    read.records.iter().any(|record| record.key == key) || skipped.any(|entry| entry.key == key)
+}
+
 /// Decodes the records of nodes; returns those that can be used and the number of the others.
 fn decode_records<P: Platform>(shared: &Shared<P>, read: &KeyedRecords) -> (Vec<Record>, usize) {
     let mut records = Vec::new();
@@ -152,18 +164,22 @@
     }
 }
 
-/// Writes this node's record to the store once, and returns the epoch in which it was written.
+/// Writes this node's record to the store once, and returns the epoch in which it was written. Fails as long as that of an
+/// earlier process, which it would replace, has not been read.
 pub async fn save_record<P: Platform>(
     shared: &Shared<P>,
 ) -> Result<Option<StoreEpoch>, StoreError> {
     let _writing = shared.kept.writing.lock().await;
     let own = lock(&shared.members).own().map(|own| own.record.clone());
     let own = own.ok_or_else(|| StoreError::Unreadable("this node has no record".to_owned()))?;
+    if !shared.kept.is_restored() {
+        return Err(StoreError::Unreadable("the record has not been read yet".to_owned()));
+    }
     let bytes = serde_json::to_vec(&own).map_err(|err| StoreError::Unreadable(err.to_string()))?;
     let Answer { epoch, result } = shared.platform.put_record(&shared.settings.node, bytes).await;
     epoch::observe_answer(shared, &epoch);
     result?;
-    shared.kept.record_departures(&own.departures);
+    shared.kept.record_stored(&own.departures);
     let epoch = epoch.valid();
     let Record { serial, .. } = own;
     shared.log(&Event::RecordWritten { serial, epoch: epoch.map(|epoch| epoch.0) });
@@ -174,7 +190,7 @@
 fn restore_departures<P: Platform>(shared: &Shared<P>, records: &[Record]) {
     let own = records.iter().find(|record| record.node == shared.settings.node);
     if let Some(own) = own {
-        departures::recall(shared, &own.departures, "store");
+        departures::recall(shared, &own.departures, departures::Source::Store);
     }
 }
 
--- a/components/mesh/src/process/upstream.rs
+++ b/components/mesh/src/process/upstream.rs
@@ -1,4 +1,8 @@
 //! State of the upstream beside this node, from its announcements.
+//!
+//! A heartbeat may arrive late: it proves that its upstream was ready once. A process that may have had a predecessor,
+//! which may have acknowledged since then that the upstream is leaving, uses the upstream only once that is ruled out:
+//! by the upstream's answer to a health check, by further heartbeats, or by what the store has of the predecessor.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -10,6 +14,11 @@
 
 /// Missed heartbeats after which a different incarnation is accepted even if it started earlier.
 const MISSED_HEARTBEATS: u32 = 3;
+/// Heartbeats that have to follow the first one if nobody tells of the predecessor: those sent before an upstream left
+/// may all be late.
+const FOLLOWING_ALONE: u32 = 2;
+/// The same if nodes that ran beside the predecessor tell what it acknowledged.
+const FOLLOWING_WITH_WITNESSES: u32 = 1;
 /// Part of the drain time kept back for requests already on their way to the upstream.
 const DRAIN_RESERVE: Duration = Duration::from_millis(700);
 
@@ -39,11 +48,35 @@
     }
 }
 
+/// What is known of an earlier process of this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Predecessor {
+    /// There was none, or it acknowledged nothing that this process does not know.
+    Absent,
+    /// Nodes that ran beside it have been heard from.
+    Witnessed,
+    /// Nothing.
+    Unknown,
+}
+
+impl Predecessor {
+    /// Heartbeats that have to follow the first one of an upstream.
+    fn needed_heartbeats(self) -> u32 {
+        match self {
+            Self::Absent => 0,
+            Self::Witnessed => FOLLOWING_WITH_WITNESSES,
+            Self::Unknown => FOLLOWING_ALONE,
+        }
+    }
+}
+
 /// Effect of an announcement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
     /// No effect.
     None,
+    /// The incarnation is not used before it is confirmed, as its heartbeat may be late.
+    Unconfirmed,
     /// Ignored: out of order, or from an earlier incarnation.
     Stale,
     /// A new incarnation started.
@@ -61,6 +94,15 @@
     since: Moment,
 }
 
+/// An incarnation that is not confirmed yet.
+#[derive(Debug)]
+struct Candidate {
+    heartbeat: Heartbeat,
+    heard_at: Instant,
+    /// Heartbeats after the first.
+    following: u32,
+}
+
 /// What is known of the upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -69,6 +111,10 @@
     leaving_since: Option<Moment>,
     /// The latest departures, oldest first.
     departures: VecDeque<Departure>,
+    candidate: Option<Candidate>,
+    predecessor: Predecessor,
+    /// Wall-clock time of the process' start: upstreams that started later were unknown to the predecessor.
+    process_started_ms: u64,
     interval: Duration,
     /// Time for which it still gets requests after it announced that it is leaving.
     drain: Duration,
@@ -79,8 +125,22 @@
     /// leave.
     pub fn new(interval: Duration, drain: Duration, now: Instant) -> Self {
         let drain = drain.saturating_sub(DRAIN_RESERVE);
-        let departures = VecDeque::new();
-        Self { heartbeat: None, heard_at: now, leaving_since: None, departures, interval, drain }
+        Self {
+            heartbeat: None,
+            heard_at: now,
+            leaving_since: None,
+            departures: VecDeque::new(),
+            candidate: None,
+            predecessor: Predecessor::Absent,
+            process_started_ms: 0,
+            interval,
+            drain,
+        }
+    }
+
+    /// The same in a process, started at that wall-clock time, that may have had a predecessor.
+    pub fn with_predecessor(self, process_started_ms: u64) -> Self {
+        Self { predecessor: Predecessor::Unknown, process_started_ms, ..self }
     }
 
     /// Applies an announcement.
@@ -98,6 +158,25 @@
         }
     }
 
+    /// Takes note of what is known of the predecessor by now.
+    pub fn learn_predecessor(&mut self, predecessor: Predecessor, now: Moment) -> Change {
+        self.predecessor = self.predecessor.min(predecessor);
+        self.start_confirmed(now)
+    }
+
+    /// Takes note that the upstream with this id said itself that it is healthy and not leaving.
+    pub fn confirm(&mut self, id: &str, now: Moment) -> Change {
+        match self.candidate.take_if(|candidate| candidate.heartbeat.id == id) {
+            Some(candidate) => self.start_incarnation(candidate.heartbeat, now),
+            None => Change::None,
+        }
+    }
+
+    /// The incarnation that is not confirmed yet.
+    pub fn unconfirmed(&self) -> Option<&Heartbeat> {
+        self.candidate.as_ref().map(|candidate| &candidate.heartbeat)
+    }
+
     /// Restores state saved by an earlier incarnation of the node, unless the upstream has already announced itself. If
     /// the upstream was replaced meanwhile, it rejects requests, as they carry the id of the one expected.
     pub fn resume(&mut self, heartbeat: Heartbeat, now: Moment) -> bool {
@@ -196,14 +275,17 @@
     }
 
     fn apply_heartbeat(&mut self, heartbeat: Heartbeat, now: Moment) -> Change {
-        let Some(known) = &self.heartbeat else { return self.start_incarnation(heartbeat, now) };
+        let Some(known) = &self.heartbeat else { return self.consider(heartbeat, now) };
         if (&known.id, known.started_ms) != (&heartbeat.id, heartbeat.started_ms) {
             let silent = now.monotonic.saturating_duration_since(self.heard_at)
                 > self.interval * MISSED_HEARTBEATS;
             let later = heartbeat.started_ms > known.started_ms;
-            if later || silent {
+            if later {
                 return self.start_incarnation(heartbeat, now);
             }
+            if silent {
+                return self.consider(heartbeat, now);
+            }
             if heartbeat.state == AnnouncedState::Draining {
                 self.record_departure(heartbeat.id, heartbeat.started_ms, now);
             }
@@ -215,6 +297,7 @@
             return if leaves { self.leave(now) } else { Change::Stale };
         }
         self.heard_at = now.monotonic;
+        self.candidate = None;
         let leaves = heartbeat.state == AnnouncedState::Draining && self.leaving_since.is_none();
         let changed = leaves || heartbeat.slots != known.slots;
         if leaves {
@@ -224,7 +307,50 @@
         if changed { Change::Updated } else { Change::None }
     }
 
+    /// Applies a heartbeat of an incarnation that may have left before this process started.
+    fn consider(&mut self, heartbeat: Heartbeat, now: Moment) -> Change {
+        let leaves = heartbeat.state == AnnouncedState::Draining;
+        if leaves || heartbeat.started_ms >= self.process_started_ms {
+            return self.start_incarnation(heartbeat, now);
+        }
+        let silence = self.interval * MISSED_HEARTBEATS;
+        match &mut self.candidate {
+            Some(known) if known.heartbeat.incarnation() == heartbeat.incarnation() => {
+                // Of several that were held up together, the first counts.
+                let apart = now.monotonic.saturating_duration_since(known.heard_at);
+                if heartbeat.sequence <= known.heartbeat.sequence || apart < self.interval / 2 {
+                    return Change::Stale;
+                }
+                let following = known.following + 1;
+                *known = Candidate { heartbeat, heard_at: now.monotonic, following };
+            }
+            Some(known)
+                if heartbeat.started_ms < known.heartbeat.started_ms
+                    && now.monotonic.saturating_duration_since(known.heard_at) <= silence =>
+            {
+                return Change::Stale;
+            }
+            candidate => {
+                *candidate = Some(Candidate { heartbeat, heard_at: now.monotonic, following: 0 });
+            }
+        }
+        match self.start_confirmed(now) {
+            Change::None => Change::Unconfirmed,
+            change => change,
+        }
+    }
+
+    /// Starts the candidate if enough of its heartbeats have been heard.
+    fn start_confirmed(&mut self, now: Moment) -> Change {
+        let needed = self.predecessor.needed_heartbeats();
+        match self.candidate.take_if(|candidate| candidate.following >= needed) {
+            Some(candidate) => self.start_incarnation(candidate.heartbeat, now),
+            None => Change::None,
+        }
+    }
+
     fn start_incarnation(&mut self, heartbeat: Heartbeat, now: Moment) -> Change {
+        self.candidate = None;
         if let (Some(known), Some(since)) = (self.heartbeat.take(), self.leaving_since) {
             self.record_departure(known.id, known.started_ms, since);
         }
--- a/components/mesh/src/request/forward.rs
+++ b/components/mesh/src/request/forward.rs
@@ -166,8 +166,14 @@
             }
             Outcome::Refused(refusal) => {
                 self.refusal = refusal;
-                if refusal.reason == RefusalReason::Unreachable {
-                    self.shared.with_peer(node, |peer| peer.record_failure(now));
+                match refusal.reason {
+                    RefusalReason::Unreachable => {
+                        self.shared.with_peer(node, |peer| peer.record_failure(now));
+                    }
+                    RefusalReason::NoUpstream if !target.local => {
+                        self.shared.record_unknown_upstream(&target.record);
+                    }
+                    _ => {}
                 }
             }
             Outcome::Failed(fault) => {
--- a/components/mesh/tests/fleet/mod.rs
+++ b/components/mesh/tests/fleet/mod.rs
@@ -58,6 +58,7 @@
             tenant: name("tenant"),
             load: name("load"),
             leaving: HeaderFlag { name: name("leaving"), value: "1" },
+            upstream: name("upstream"),
         };
         Self { clock, headers }
     }
--- a/components/mesh/tests/upstream.rs
+++ b/components/mesh/tests/upstream.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use mesh::decide::members::UpstreamState;
 use mesh::platform::{AnnouncedState, Announcement, Heartbeat};
-use mesh::process::upstream::{Change, Moment, Upstream};
+use mesh::process::upstream::{Change, Moment, Predecessor, Upstream};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 const DRAIN_TIME: Duration = Duration::from_millis(1_500);
@@ -210,3 +210,90 @@
     expect_that!(upstream.state(), eq(UpstreamState::Leaving));
     expect_that!(upstream.accepting(at(later)), none());
 }
+
+/// An upstream that a process hears of, which started after it and may have had a predecessor.
+fn doubting(now: Instant) -> Upstream {
+    Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now).with_predecessor(1_000)
+}
+
+/// Guards against a heartbeat from before the upstream left that is taken for one that stays, by a process that does not
+/// know what its predecessor acknowledged.
+#[gtest]
+fn late_heartbeats_do_not_make_an_upstream_ready() {
+    let now = Instant::now();
+    let mut upstream = doubting(now);
+    let ready = |sequence| heartbeat("i", 10, sequence, AnnouncedState::Ready);
+    expect_that!(upstream.apply(ready(5), at(now)), eq(Change::Unconfirmed));
+    expect_that!(upstream.apply(ready(4), at(now + HEARTBEAT_INTERVAL)), eq(Change::Stale));
+    let soon = now + HEARTBEAT_INTERVAL / 4;
+    expect_that!(upstream.apply(ready(6), at(soon)), eq(Change::Stale), "held up together");
+    let later = now + HEARTBEAT_INTERVAL;
+    expect_that!(upstream.apply(ready(7), at(later)), eq(Change::Unconfirmed));
+    expect_that!(upstream.state(), eq(UpstreamState::Unknown));
+    expect_that!(upstream.accepting(at(later)), none());
+    expect_that!(upstream.confirm("another", at(later)), eq(Change::None));
+    expect_that!(upstream.state(), eq(UpstreamState::Unknown));
+}
+
+/// Guards against an upstream that stays and is not used.
+#[gtest]
+fn an_upstream_is_ready_once_it_is_confirmed() {
+    let now = Instant::now();
+    let ready = |sequence| heartbeat("i", 10, sequence, AnnouncedState::Ready);
+    let mut confirmed = doubting(now);
+    confirmed.apply(ready(5), at(now));
+    expect_that!(confirmed.confirm("i", at(now)), eq(Change::Started));
+    expect_that!(confirmed.state(), eq(UpstreamState::Ready));
+
+    for (known, following) in
+        [(Predecessor::Absent, 0), (Predecessor::Witnessed, 1), (Predecessor::Unknown, 2)]
+    {
+        for known_first in [false, true] {
+            let mut upstream = doubting(now);
+            if known_first {
+                upstream.learn_predecessor(known, at(now));
+            }
+            for sequence in 0..=following {
+                expect_that!(upstream.state(), eq(UpstreamState::Unknown));
+                upstream.apply(ready(sequence), at(now + HEARTBEAT_INTERVAL * sequence as u32));
+            }
+            upstream.learn_predecessor(known, at(now));
+            expect_that!(upstream.state(), eq(UpstreamState::Ready), "{known:?}");
+        }
+    }
+
+    let mut later = doubting(now);
+    later.apply(heartbeat("i", 1_001, 1, AnnouncedState::Ready), at(now));
+    expect_that!(later.state(), eq(UpstreamState::Ready), "it started after the process");
+}
+
+/// Guards against a confirmation that hides what the process knows of the same incarnation.
+#[gtest]
+fn a_confirmed_upstream_that_has_left_is_leaving() {
+    let now = Instant::now();
+    let mut upstream = doubting(now);
+    upstream.apply(heartbeat("i", 10, 5, AnnouncedState::Ready), at(now));
+    upstream.apply(leave("i", Some(10)), at(now));
+    upstream.confirm("i", at(now));
+    expect_that!(upstream.state(), eq(UpstreamState::Leaving));
+
+    let mut upstream = doubting(now);
+    upstream.apply(heartbeat("i", 10, 5, AnnouncedState::Ready), at(now));
+    upstream.apply(heartbeat("i", 10, 6, AnnouncedState::Draining), at(now));
+    expect_that!(upstream.state(), eq(UpstreamState::Leaving));
+}
+
+/// Guards against an incarnation that was replaced and is used again, as its late heartbeat comes first.
+#[gtest]
+fn a_late_heartbeat_of_a_replaced_incarnation_does_not_hide_its_successor() {
+    let now = Instant::now();
+    let mut upstream = doubting(now);
+    upstream.apply(heartbeat("old", 10, 5, AnnouncedState::Ready), at(now));
+    upstream.apply(heartbeat("new", 20, 1, AnnouncedState::Ready), at(now));
+    let late = upstream.apply(heartbeat("old", 10, 6, AnnouncedState::Ready), at(now));
+    expect_that!(late, eq(Change::Stale));
+    expect_that!(upstream.confirm("old", at(now)), eq(Change::None));
+    upstream.confirm("new", at(now));
+    let accepting = upstream.accepting(at(now)).map(|heartbeat| heartbeat.id.clone());
+    expect_that!(accepting, some(eq("new")));
+}
