Save what crashed upstreams where it outlives all processes

Cause: suspects were in the memory of the processes, which tell each other; nothing was left when all were killed.

Change: the record of a node in the store has the uncleared crashes of its upstream, 32 at most, those of quarantined requests first, with the time of the last crash or trial. It is written anew when the node's crashes of quarantined requests change, so that a crash alone costs no call. A starting process restores those of all records; what has expired stays forgotten.

Why it works: the store outlives all processes, a process reads it before it serves, and times are kept, so that a kill neither shortens the delay of a trial nor revives an old suspect.

--- a/components/mesh/src/process.rs
+++ b/components/mesh/src/process.rs
@@ -18,6 +18,7 @@
 pub mod peer_connections;
 pub mod quotas;
 pub mod relay;
+pub mod saved;
 pub mod serve;
 pub mod settings;
 pub mod shared;
--- a/components/mesh/src/process/departures.rs
+++ b/components/mesh/src/process/departures.rs
@@ -5,10 +5,12 @@
 //! a node of another failure domain has to know them, as this one may be lost as a whole, and they are written to the
 //! store until it has them. Where all that knew are lost, a process doubts heartbeats (see [`super::upstream`]).
 
+use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use quarantine::SavedCrash;
 use tokio::sync::watch;
 
 use super::control;
@@ -37,6 +39,8 @@
     told: watch::Sender<Told>,
     /// Whether another node has to be told now, as the store has failed.
     urgent: AtomicBool,
+    /// Crashes of quarantined requests in the record that the store has, or is to get.
+    quarantined: Mutex<BTreeSet<SavedCrash>>,
     /// Whether the record that an earlier process left in the store has been read.
     restored: AtomicBool,
 }
@@ -66,6 +70,14 @@
         self.urgent.load(Ordering::Relaxed)
     }
 
+    /// Takes note of the crashes of quarantined requests that the store knows, or is to be told; false if these were known.
+    pub fn record_quarantined(&self, crashes: BTreeSet<SavedCrash>) -> bool {
+        let mut known = lock(&self.quarantined);
+        let differs = *known != crashes;
+        *known = crashes;
+        differs
+    }
+
     /// Takes note that the record which an earlier process left in the store has been read.
     pub fn record_restored(&self) {
         self.restored.store(true, Ordering::Relaxed);
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -26,6 +26,7 @@
 use super::quotas;
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
+use super::suspects;
 use super::traffic;
 use super::upstream::Moment;
 use crate::decide::aggregate::{self, Delegate, Reporter};
@@ -285,6 +286,7 @@
     aggregates.sweep(now);
     drop(aggregates);
     lock(&shared.suspects).tick(now);
+    suspects::save_changes(shared);
     shared.upstream_pool.close_expired(UPSTREAM_MAX_IDLE, now);
     shared.peer_pool.close_expired(PEER_MAX_IDLE, now);
 }
--- a/components/mesh/src/process/node.rs
+++ b/components/mesh/src/process/node.rs
@@ -14,7 +14,7 @@
 use super::serve::{self, Clients};
 use super::settings::NodeSettings;
 use super::shared::{Shared, lock};
-use super::{control, epoch, exchange, follow, relay, store};
+use super::{control, epoch, exchange, follow, relay, saved, store};
 use crate::decide::members::Record;
 use crate::platform::Platform;
 
@@ -187,7 +187,7 @@
         let save = async {
             let record = record.filter(|record| record.saved_upstream.is_some());
             let Some(record) = record.filter(|_| shared.kept.is_restored()) else { return };
-            let Ok(bytes) = serde_json::to_vec(&record) else { return };
+            let Ok(bytes) = saved::encode(shared, &record) else { return };
             let asked = shared.now();
             let answer = shared.platform.put_record(&shared.settings.node, bytes).await;
             epoch::observe_answer(shared, &answer.epoch);
--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -10,7 +10,7 @@
 use super::events::Event;
 use super::shared::{Shared, lock};
 use super::upstream::Predecessor;
-use super::{announced, control, departures, epoch};
+use super::{announced, control, departures, epoch, saved, suspects};
 use crate::decide::members::{MAX_STORED_INCARNATION, MemberUpdate, Merged, Record, SavedUpstream};
 use crate::decide::notice::Notice;
 use crate::platform::{
@@ -40,6 +40,7 @@
             Ok(records) => {
                 backoff.succeeded(&shared, "records");
                 let is_first = !has_key(&records, &shared.settings.node);
+                restore_crashes(&shared, &records);
                 let (records, skipped) = decode_records(&shared, &records);
                 restore_departures(&shared, &records);
                 restore_upstream(&shared, &records, epoch.valid());
@@ -175,17 +176,29 @@
     if !shared.kept.is_restored() {
         return Err(StoreError::Unreadable("the record has not been read yet".to_owned()));
     }
-    let bytes = serde_json::to_vec(&own).map_err(|err| StoreError::Unreadable(err.to_string()))?;
+    let quarantined = suspects::own_quarantined(shared);
+    let bytes = saved::encode(shared, &own)?;
     let Answer { epoch, result } = shared.platform.put_record(&shared.settings.node, bytes).await;
     epoch::observe_answer(shared, &epoch);
     result?;
     shared.kept.record_stored(&own.departures);
+    shared.kept.record_quarantined(quarantined);
     let epoch = epoch.valid();
     let Record { serial, .. } = own;
     shared.log(&Event::RecordWritten { serial, epoch: epoch.map(|epoch| epoch.0) });
     Ok(epoch)
 }
 
+/// Restores the crashes that all nodes have saved.
+fn restore_crashes<P: Platform>(shared: &Shared<P>, read: &KeyedRecords) {
+    for entry in &read.records {
+        match saved::decode_crashes(&entry.value) {
+            Ok(crashes) => suspects::restore(shared, &entry.key, &crashes),
+            Err(err) => shared.record_skipped(&entry.key, &err.to_string(), "store"),
+        }
+    }
+}
+
 /// Restores the departures that earlier incarnations of this node were told of.
 fn restore_departures<P: Platform>(shared: &Shared<P>, records: &[Record]) {
     let own = records.iter().find(|record| record.node == shared.settings.node);
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -9,4 +9,4 @@
 mod table;
 
 pub use fingerprint::Fingerprint;
-pub use table::{Crash, Suspect, SuspectTable, SuspectUpdate};
+pub use table::{Crash, SavedCrash, Suspect, SuspectTable, SuspectUpdate};
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -1,6 +1,6 @@
 //! Table of suspects, replicated between nodes by merging updates.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use units::NodeId;
@@ -32,6 +32,15 @@
         pub epoch: u64,
     }
 
+    /// Crash of an upstream during which a request was in flight, as it is saved by the upstream's node.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct SavedCrash {
+        /// Fingerprint of the request.
+        pub fingerprint: Fingerprint,
+        /// Epoch of the upstream process that crashed.
+        pub epoch: u64,
+    }
+
     /// Update on a suspect, exchanged between nodes.
     pub struct SuspectUpdate {
         /// Fingerprint of the request.
@@ -122,6 +131,47 @@
 
     /// Merges an update; true when it changed the table and has to be forwarded.
     pub fn merge(&mut self, update: &SuspectUpdate, now: Instant) -> bool {
+        self.merge_at(update, now)
+    }
+
+    /// Restores a crash that was saved, as of a suspect that was last seen to crash an upstream, or tried, `age` ago.
+    pub fn restore(&mut self, saved: &SavedCrash, node: &NodeId, age: Duration, now: Instant) {
+        let crash = Crash { node: node.clone(), epoch: saved.epoch };
+        let (fingerprint, call) = (saved.fingerprint, String::new());
+        let update = SuspectUpdate { fingerprint, crash, cleared: false, call };
+        self.merge_at(&update, now.checked_sub(age).unwrap_or(now));
+    }
+
+    /// The crashes of a node's upstream that no answer has cleared, at most `max`: those of quarantined requests first, then
+    /// the latest; each with the time since its suspect last crashed an upstream, or was tried.
+    pub fn crashes_of(
+        &self,
+        node: &NodeId,
+        max: usize,
+        now: Instant,
+    ) -> Vec<(SavedCrash, Duration)> {
+        let mut suspects: Vec<(&Fingerprint, &Suspect)> = self.entries.iter().collect();
+        suspects.sort_unstable_by_key(|(fingerprint, entry)| {
+            std::cmp::Reverse((entry.is_quarantined(), entry.tried_at, fingerprint.0))
+        });
+        let crashes = suspects.into_iter().flat_map(|(fingerprint, entry)| {
+            let age = now.saturating_duration_since(entry.tried_at);
+            entry
+                .uncleared_at(node)
+                .map(move |epoch| (SavedCrash { fingerprint: *fingerprint, epoch }, age))
+        });
+        crashes.take(max).collect()
+    }
+
+    /// Those of quarantined requests alone.
+    pub fn quarantined_crashes_of(&self, node: &NodeId) -> BTreeSet<SavedCrash> {
+        let crashes = self.quarantined().flat_map(|(fingerprint, entry)| {
+            entry.uncleared_at(node).map(move |epoch| SavedCrash { fingerprint, epoch })
+        });
+        crashes.collect()
+    }
+
+    fn merge_at(&mut self, update: &SuspectUpdate, now: Instant) -> bool {
         let new_entry = || Suspect {
             call: update.call.clone(),
             crashes: HashMap::new(),
@@ -135,10 +185,10 @@
             None => entry.crashes.insert(update.crash.clone(), update.cleared).is_none(),
         };
         if changed {
-            entry.changed_at = now;
+            entry.changed_at = entry.changed_at.max(now);
         }
         if changed && !update.cleared {
-            entry.tried_at = now;
+            entry.tried_at = entry.tried_at.max(now);
         }
         self.evict_excess();
         changed
@@ -214,6 +264,13 @@
         self.crashes.iter().map(update).collect()
     }
 
+    /// Epochs of a node's upstream that crashed, and whose crash no answer has cleared.
+    fn uncleared_at(&self, node: &NodeId) -> impl Iterator<Item = u64> {
+        let crashes =
+            self.crashes.iter().filter(|(crash, cleared)| !**cleared && crash.node == *node);
+        crashes.map(|(crash, _)| crash.epoch)
+    }
+
     fn uncleared(&self) -> usize {
         self.crashes.values().filter(|cleared| !**cleared).count()
     }
--- a/components/quarantine/tests/quarantine.rs
+++ b/components/quarantine/tests/quarantine.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use proptest::prelude::*;
-use quarantine::{Crash, Fingerprint, SuspectTable, SuspectUpdate};
+use quarantine::{Crash, Fingerprint, SavedCrash, SuspectTable, SuspectUpdate};
 use units::{Clock, ManualClock};
 
 const POISON: Fingerprint = Fingerprint(1);
@@ -135,6 +135,79 @@
     expect_that!(table.len(), eq(4_096));
 }
 
+/// Restores crashes of a request as they were saved `age` ago.
+fn restored(crashes: &[(SavedCrash, Duration)], age: Duration, now: Instant) -> SuspectTable {
+    let mut table = SuspectTable::new();
+    for (saved, since) in crashes {
+        table.restore(saved, &"a".parse().unwrap(), *since + age, now);
+    }
+    table.tick(now);
+    table
+}
+
+/// Guards against crashes that are forgotten with all processes, a trial that is due too early or never, and a request that is
+/// refused for crashes of long ago.
+#[gtest]
+fn saved_crashes_hold_as_long_as_they_would_in_memory() {
+    let clock = ManualClock::new();
+    let node = "a".parse().unwrap();
+    let mut table = SuspectTable::new();
+    for epoch in 1..=2 {
+        table.merge(&crash_update(POISON, "a", epoch), clock.now());
+    }
+    clock.advance(Duration::from_secs(4));
+    let saved = table.crashes_of(&node, 10, clock.now());
+    expect_that!(saved.len(), eq(2));
+    let second = Duration::from_secs(1);
+    for (age, quarantined, refused) in [
+        (0, true, true),
+        (5, true, true),
+        (6, true, false),
+        (595, true, false),
+        (596, false, false),
+    ] {
+        let table = restored(&saved, age * second, clock.now());
+        expect_that!(table.is_quarantined(POISON), eq(quarantined), "{age} s later");
+        expect_that!(table.is_refused(POISON, clock.now()), eq(refused), "{age} s later");
+    }
+    table.clear(POISON, clock.now());
+    expect_that!(table.crashes_of(&node, 10, clock.now()).len(), eq(0), "it was answered");
+    expect_that!(table.quarantined_crashes_of(&node).len(), eq(0));
+}
+
+/// Guards against a saved record without the request that crashes upstreams, as many others were in flight.
+#[gtest]
+fn crashes_of_quarantined_requests_are_saved_first() {
+    let (now, node) = (now(), "a".parse().unwrap());
+    let mut table = SuspectTable::new();
+    table.merge(&crash_update(POISON, "a", 1), now);
+    table.merge(&crash_update(POISON, "b", 1), now);
+    for number in 10..400 {
+        table.merge(&crash_update(Fingerprint(number), "a", 1), now);
+    }
+    let saved = table.crashes_of(&node, 32, now);
+    expect_that!(saved.len(), eq(32));
+    expect_that!(saved[0].0, eq(&SavedCrash { fingerprint: POISON, epoch: 1 }));
+    expect_that!(table.quarantined_crashes_of(&node).len(), eq(1));
+    expect_that!(table.crashes_of(&"c".parse().unwrap(), 32, now).len(), eq(0));
+}
+
+/// Guards against a saved crash that counts again though an answer to the request is known.
+#[gtest]
+fn a_saved_crash_does_not_replace_an_answer() {
+    let now = now();
+    let mut table = SuspectTable::new();
+    for epoch in 1..=2 {
+        table.merge(&crash_update(POISON, "a", epoch), now);
+    }
+    let saved = table.crashes_of(&"a".parse().unwrap(), 10, now);
+    table.clear(POISON, now);
+    for (crash, age) in saved {
+        table.restore(&crash, &"a".parse().unwrap(), age, now);
+    }
+    expect_that!(table.is_quarantined(POISON), eq(false));
+}
+
 #[gtest]
 fn a_fingerprint_depends_on_the_key_or_on_the_exact_request() {
     expect_that!(Fingerprint::of_key(b"k"), eq(Fingerprint::of_key(b"k")));
