Read saved crashes only from records that can be used

A record with odd crashes was logged as skipped though the rest of it was used, and one that could not be read at all was counted twice. Crashes are read of usable records alone; odd ones are logged once and hide nothing else (odd_crashes_do_not_hide_the_rest_of_a_record).

--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -1,5 +1,6 @@
 //! Membership in the store: the records of other nodes are read at startup, and this node's record is kept there.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -37,11 +38,11 @@
         let Answer { epoch, result } = shared.platform.node_records().await;
         epoch::observe_answer(&shared, &epoch);
         match result {
-            Ok(records) => {
+            Ok(read) => {
                 backoff.succeeded(&shared, "records");
-                let is_first = !has_key(&records, &shared.settings.node);
-                restore_crashes(&shared, &records);
-                let (records, skipped) = decode_records(&shared, &records);
+                let is_first = !has_key(&read, &shared.settings.node);
+                let (records, skipped) = decode_records(&shared, &read);
+                restore_crashes(&shared, &read, &records);
                 restore_departures(&shared, &records);
                 restore_upstream(&shared, &records, epoch.valid());
                 if is_first {
@@ -189,9 +190,10 @@
     Ok(epoch)
 }
 
-/// Restores the crashes that all nodes have saved.
-fn restore_crashes<P: Platform>(shared: &Shared<P>, read: &KeyedRecords) {
-    for entry in &read.records {
+/// Restores the crashes that all nodes have saved, in those records that can be used.
+fn restore_crashes<P: Platform>(shared: &Shared<P>, read: &KeyedRecords, usable: &[Record]) {
+    let usable: HashSet<&str> = usable.iter().map(|record| &*record.node).collect();
+    for entry in read.records.iter().filter(|entry| usable.contains(entry.key.as_str())) {
         match saved::decode_crashes(&entry.value) {
             Ok(crashes) => suspects::restore(shared, &entry.key, &crashes),
             Err(err) => shared.record_skipped(&entry.key, &err.to_string(), "store"),
