Expire restored suspects by all their crashes, and by age

Cause: suspects past their time to live were removed after the crashes of each node had been restored, and one node has only a part of them, which expires sooner. Besides, times before a start were told by the monotonic clock, which need not reach back as far.

Change: the crashes of all nodes are restored before any suspect is removed; a suspect has the age that was restored with it, and restored suspects are not news to other nodes, which read the same.

Result: crashes_that_several_nodes_have_saved_expire_together failed with the removal after each node, and passes.

--- a/components/mesh/src/process/store.rs
+++ b/components/mesh/src/process/store.rs
@@ -193,12 +193,14 @@
 /// Restores the crashes that all nodes have saved, in those records that can be used.
 fn restore_crashes<P: Platform>(shared: &Shared<P>, read: &KeyedRecords, usable: &[Record]) {
     let usable: HashSet<&str> = usable.iter().map(|record| &*record.node).collect();
+    let mut saved = Vec::new();
     for entry in read.records.iter().filter(|entry| usable.contains(entry.key.as_str())) {
         match saved::decode_crashes(&entry.value) {
-            Ok(crashes) => suspects::restore(shared, &entry.key, &crashes),
+            Ok(crashes) => saved.push((entry.key.as_str(), crashes)),
             Err(err) => shared.record_skipped(&entry.key, &err.to_string(), "store"),
         }
     }
+    suspects::restore(shared, &saved);
 }
 
 /// Restores the departures that earlier incarnations of this node were told of.
--- a/components/mesh/src/process/suspects.rs
+++ b/components/mesh/src/process/suspects.rs
@@ -21,29 +21,28 @@
     merge(shared, &SuspectUpdate { fingerprint, crash, cleared: false, call }, "crash");
 }
 
-/// Restores the crashes that a node has saved.
-pub fn restore<P: Platform>(shared: &Shared<P>, node: &str, crashes: &[saved::Crash]) {
-    if crashes.is_empty() {
-        return;
-    }
-    let Some(node) = node_id(shared, node, "store") else { return };
-    let now = shared.now();
+/// Restores the crashes that nodes have saved, by the names of these.
+pub fn restore<P: Platform>(shared: &Shared<P>, saved: &[(&str, Vec<saved::Crash>)]) {
+    let (now, wall_ms) = (shared.now(), shared.wall_ms());
     let mut restored = BTreeSet::new();
-    let quarantined = {
+    for (node, crashes) in saved.iter().filter(|(_, crashes)| !crashes.is_empty()) {
+        let Some(node) = node_id(shared, node, "store") else { continue };
         let mut table = lock(&shared.suspects);
         for crash in crashes {
-            let (crash, age) = crash.read(shared.wall_ms());
+            let (crash, age) = crash.read(wall_ms);
             if !table.is_quarantined(crash.fingerprint) {
                 restored.insert(crash.fingerprint);
             }
             table.restore(&crash, &node, age, now);
         }
-        // They may have expired meanwhile.
+    }
+    {
+        let mut table = lock(&shared.suspects);
+        // How long a suspect is kept depends on its crashes at all nodes.
         table.tick(now);
         restored.retain(|fingerprint| table.is_quarantined(*fingerprint));
-        restored
-    };
-    for fingerprint in quarantined {
+    }
+    for fingerprint in restored {
         changed(shared, fingerprint, true, "store");
     }
 }
--- a/components/mesh/tests/suspects.rs
+++ b/components/mesh/tests/suspects.rs
@@ -4,11 +4,13 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use fleet::Fleet;
 use googletest::prelude::*;
 use mesh::process::shared::lock;
-use mesh::process::suspects;
-use quarantine::Fingerprint;
+use mesh::process::{saved, suspects};
+use quarantine::{Fingerprint, SavedCrash};
 
 const REQUEST: Fingerprint = Fingerprint(7);
 /// Rounds of exchanges in which news reach all nodes.
@@ -70,3 +72,20 @@
     fleet.run(40);
     expect_that!(fleet.traffic(40).busiest, lt(before * 1.25));
 }
+
+/// Guards against a request that is forgotten at a start, as each node has saved only one of its crashes, and suspects of one crash
+/// expire sooner.
+#[gtest]
+fn crashes_that_several_nodes_have_saved_expire_together() {
+    for (age, known) in [(1_000, true), (6_000, false)] {
+        let fleet = Fleet::start(4, 2);
+        fleet.clock.advance(Duration::from_secs(10_000));
+        let shared = &fleet.members[0].shared;
+        let nodes: Vec<_> = fleet.members.iter().map(fleet::Member::name).collect();
+        let crash = SavedCrash { fingerprint: REQUEST, epoch: 1 };
+        let crash = saved::Crash::new(crash, Duration::from_secs(age), shared.wall_ms());
+        let saved: Vec<_> = nodes.iter().map(|node| (&**node, vec![crash])).collect();
+        suspects::restore(shared, &saved);
+        expect_that!(lock(&shared.suspects).is_quarantined(REQUEST), eq(known), "{age} s ago");
+    }
+}
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -61,10 +61,12 @@
         pub crashes: HashMap<Crash, bool>,
         /// When it became known to this node.
         pub since: Instant,
-        /// When a crash was added or cleared last.
-        pub changed_at: Instant,
-        /// When a crash was added, or a trial began, last.
+        /// When a crash was added or cleared last; none since it was restored.
+        pub changed_at: Option<Instant>,
+        /// When a crash was added, or a trial began, last; or when that was restored.
         tried_at: Instant,
+        /// Its age then: the clock may not reach back as far.
+        age: Duration,
     }
 }
 
@@ -106,14 +108,14 @@
         }
         let entry = self.entries.get_mut(&fingerprint);
         if let Some(entry) = entry.filter(|entry| entry.is_quarantined()) {
-            entry.tried_at = now;
+            entry.record_trial(Duration::ZERO, now);
         }
         true
     }
 
     fn is_due(&self, entry: &Suspect, now: Instant) -> bool {
         let delay = entry.trial_delay().mul_f64(1.0 + self.trial_spread);
-        now.saturating_duration_since(entry.tried_at) >= delay
+        entry.trial_age(now) >= delay
     }
 
     /// Clears a request that was answered of the crashes known so far; returns the updates for other nodes.
@@ -124,14 +126,19 @@
         for update in &mut updates {
             update.cleared = true;
             entry.crashes.insert(update.crash.clone(), true);
-            entry.changed_at = now;
+            entry.changed_at = Some(now);
         }
         updates
     }
 
     /// Merges an update; true when it changed the table and has to be forwarded.
     pub fn merge(&mut self, update: &SuspectUpdate, now: Instant) -> bool {
-        self.merge_at(update, now)
+        let changed = self.add(update, Duration::ZERO, now);
+        if let Some(entry) = self.entries.get_mut(&update.fingerprint).filter(|_| changed) {
+            entry.changed_at = Some(now);
+        }
+        self.evict_excess();
+        changed
     }
 
     /// Restores a crash that was saved, as of a suspect that was last seen to crash an upstream, or tried, `age` ago.
@@ -139,7 +146,8 @@
         let crash = Crash { node: node.clone(), epoch: saved.epoch };
         let (fingerprint, call) = (saved.fingerprint, String::new());
         let update = SuspectUpdate { fingerprint, crash, cleared: false, call };
-        self.merge_at(&update, now.checked_sub(age).unwrap_or(now));
+        self.add(&update, age, now);
+        self.evict_excess();
     }
 
     /// The crashes of a node's upstream that no answer has cleared, at most `max`: those of quarantined requests first, then
@@ -152,10 +160,10 @@
     ) -> Vec<(SavedCrash, Duration)> {
         let mut suspects: Vec<(&Fingerprint, &Suspect)> = self.entries.iter().collect();
         suspects.sort_unstable_by_key(|(fingerprint, entry)| {
-            std::cmp::Reverse((entry.is_quarantined(), entry.tried_at, fingerprint.0))
+            (!entry.is_quarantined(), entry.trial_age(now), fingerprint.0)
         });
         let crashes = suspects.into_iter().flat_map(|(fingerprint, entry)| {
-            let age = now.saturating_duration_since(entry.tried_at);
+            let age = entry.trial_age(now);
             entry
                 .uncleared_at(node)
                 .map(move |epoch| (SavedCrash { fingerprint: *fingerprint, epoch }, age))
@@ -171,26 +179,24 @@
         crashes.collect()
     }
 
-    fn merge_at(&mut self, update: &SuspectUpdate, now: Instant) -> bool {
+    /// Adds what an update tells, of a crash `age` ago; true if it changed anything.
+    fn add(&mut self, update: &SuspectUpdate, age: Duration, now: Instant) -> bool {
         let new_entry = || Suspect {
             call: update.call.clone(),
             crashes: HashMap::new(),
             since: now,
-            changed_at: now,
+            changed_at: None,
             tried_at: now,
+            age,
         };
         let entry = self.entries.entry(update.fingerprint).or_insert_with(new_entry);
         let changed = match entry.crashes.get_mut(&update.crash) {
             Some(cleared) => update.cleared && !std::mem::replace(cleared, true),
             None => entry.crashes.insert(update.crash.clone(), update.cleared).is_none(),
         };
-        if changed {
-            entry.changed_at = entry.changed_at.max(now);
-        }
-        if changed && !update.cleared {
-            entry.tried_at = entry.tried_at.max(now);
+        if changed && !update.cleared && age < entry.trial_age(now) {
+            entry.record_trial(age, now);
         }
-        self.evict_excess();
         changed
     }
 
@@ -201,7 +207,7 @@
             .entries
             .iter()
             .filter(|(_, entry)| {
-                now.saturating_duration_since(entry.changed_at) < UPDATE_AGE
+                entry.changed_at.is_some_and(|at| now.saturating_duration_since(at) < UPDATE_AGE)
                     || entry.is_quarantined()
                     || is_new && entry.crashes.values().any(|cleared| !cleared)
             })
@@ -215,9 +221,7 @@
 
     /// Removes suspects past their time to live.
     pub fn tick(&mut self, now: Instant) {
-        self.entries.retain(|_, entry| {
-            now.saturating_duration_since(entry.tried_at) < entry.time_to_live()
-        });
+        self.entries.retain(|_, entry| entry.trial_age(now) < entry.time_to_live());
     }
 
     /// Quarantined requests.
@@ -264,6 +268,15 @@
         self.crashes.iter().map(update).collect()
     }
 
+    /// Time since a crash was added, or a trial began, last.
+    fn trial_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.tried_at) + self.age
+    }
+
+    fn record_trial(&mut self, age: Duration, now: Instant) {
+        (self.tried_at, self.age) = (now, age);
+    }
+
     /// Epochs of a node's upstream that crashed, and whose crash no answer has cleared.
     fn uncleared_at(&self, node: &NodeId) -> impl Iterator<Item = u64> {
         let crashes =
