Tell a restarted node what it had told itself

Cause, from the nodes' logs: an idle failure domain restarted while the store refused. Another node told its delegate of all nodes but those of which the delegate had told itself before its restart, its own neighbours among them. The neighbour was heard of only 4 s later, when requests came or the store was back.

Change: a node that is restarted is the source of nothing any more, so that it is told everything.

Why it works: updates are left out for their source since it knows them; a new process does not.

--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -415,6 +415,7 @@
         if restarted {
             known.measurements = Measurements::default();
         }
+        let node = known.record.node.clone();
         if let Some(measurements) = new_measurements {
             known.measurements = measurements;
         }
@@ -429,9 +430,19 @@
         if service_changed {
             self.rebuild_index();
         }
+        if restarted {
+            self.forget_source(&node);
+        }
         Merged::Changed
     }
 
+    /// Takes note that a node was restarted, and no longer knows what it has told.
+    fn forget_source(&mut self, node: &Arc<str>) {
+        for entry in self.entries.values_mut() {
+            entry.source.take_if(|source| source == node);
+        }
+    }
+
     /// Adds an unknown node.
     fn insert(&mut self, update: MemberUpdate, source: Option<&Arc<str>>, now: Instant) -> Merged {
         // It can't be reached without its record; an exchange with another node will bring it.
--- a/components/mesh/tests/members.rs
+++ b/components/mesh/tests/members.rs
@@ -234,3 +234,21 @@
         expect_that!(demand.slots["s"], near(slots, 1e-9));
     }
 }
+
+/// Guards against a restarted node that knows no other node of its failure domain for seconds, as it had told of them itself.
+#[gtest]
+fn a_restarted_node_is_told_what_it_had_told() {
+    let now = Instant::now();
+    let mut table = Table::new(record("own", 1, 1), now);
+    let source: Arc<str> = "b".into();
+    for node in ["b", "c"] {
+        table.merge(update(record(node, 5, 1)), Some(&source), now);
+    }
+    let told = |table: &Table| -> Vec<String> {
+        let (updates, _) = table.changes_since(0, "b", true);
+        updates.iter().map(|update| update.node.to_string()).collect()
+    };
+    expect_that!(told(&table), elements_are![eq("own")]);
+    table.merge(update(record("b", 6, 1)), Some(&source), now);
+    expect_that!(told(&table), contains(eq("c")));
+}
