--- a/components/mesh/src/decide/members.rs
+++ b/components/mesh/src/decide/members.rs
@@ -316,6 +316,11 @@
     source: Option<Arc<str>>,
 }
 
+/// What an update about this node itself shows.
+fn merge_own(update: &MemberUpdate, own: &Member) -> Merged {
+    if update.supersedes(own) { Merged::Superseded(update.incarnation) } else { Merged::Unchanged }
+}
+
 /// The bucket of a node's record.
 pub fn bucket(node: &str) -> usize {
     (xxh3::xxh3_64(node.as_bytes()) % BUCKETS as u64) as usize
@@ -388,12 +393,7 @@
         };
         let known = &mut entry.member;
         if update.node == self.own {
-            let superseded = update.supersedes(known);
-            return if superseded {
-                Merged::Superseded(update.incarnation)
-            } else {
-                Merged::Unchanged
-            };
+            return merge_own(&update, known);
         }
         let restarted = update.incarnation > known.record.incarnation;
         if update.incarnation < known.record.incarnation || (restarted && update.record.is_none()) {
@@ -415,7 +415,6 @@
         if restarted {
             known.measurements = Measurements::default();
         }
-        let node = known.record.node.clone();
         if let Some(measurements) = new_measurements {
             known.measurements = measurements;
         }
@@ -427,12 +426,12 @@
         let service_changed = known.record.service != record.service;
         known.record = record;
         entry.record_revision = revision;
+        if restarted {
+            self.forget_source(&update.node);
+        }
         if service_changed {
             self.rebuild_index();
         }
-        if restarted {
-            self.forget_source(&node);
-        }
         Merged::Changed
     }
 
