--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -276,9 +276,10 @@
             client.abort();
         }
         eprintln!(
-            "{self:?}: {} MiB resident, {} MiB with queues, {:?} descriptors",
+            "{self:?}: {} MiB resident, {} MiB with queues {:?}, {:?} descriptors",
             peak.resident >> 20,
             peak.held >> 20,
+            peak.parts,
             peak.node_descriptors
         );
         expect_that!(peak.held, le(self.memory_mb << 20), "memory, {self:?}");
--- a/tests/node_crowds.rs
+++ b/tests/node_crowds.rs
@@ -175,7 +175,7 @@
         let (mut memory, mut descriptors) = (0, 0);
         // Ends with the process.
         while let Some(resident) = usage::resident(pid) {
-            memory = memory.max(resident + usage::queued(pid, &[door]));
+            memory = memory.max(resident + usage::queued(pid, &[door]).sum());
             descriptors = descriptors.max(usage::descriptors(pid));
             tokio::time::sleep(POLL_INTERVAL).await;
         }
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -49,6 +49,8 @@
     pub resident: u64,
     /// Memory with all that is in the queues of sockets, those of connections that were not accepted yet included.
     pub held: u64,
+    /// What that was: resident memory, and the queues.
+    pub parts: (u64, usage::Queues),
     /// Open descriptors.
     pub descriptors: usize,
     /// The same for each node.
@@ -65,8 +67,11 @@
                 self.memory.max(memory.unwrap_or_else(|| panic!("{} has ended", machine.name)));
             let resident = usage::resident(node.id()).unwrap_or_default();
             self.resident = self.resident.max(resident);
-            let queued = usage::queued(node.id(), &[machine.outbound(), machine.inbound()]);
-            self.held = self.held.max(resident + queued);
+            let queues = usage::queued(node.id(), &[machine.outbound(), machine.inbound()]);
+            if resident + queues.sum() > self.held {
+                self.held = resident + queues.sum();
+                self.parts = (resident, queues);
+            }
             *descriptors = usage::descriptors(node.id()).max(*descriptors);
             self.descriptors = self.descriptors.max(*descriptors);
         }
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -39,25 +39,47 @@
     queued.sum()
 }
 
-/// Bytes in the queues of a process' sockets, in both directions, with those of connections to its listeners that it has
-/// not accepted yet, or has closed.
-pub fn queued(pid: u32, listeners: &[SocketAddr]) -> u64 {
+/// Bytes in the queues of a process' sockets.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Queues {
+    /// Received and not read by the process.
+    pub received: u64,
+    /// Written by the process and not acknowledged.
+    pub sent: u64,
+    /// Both of connections to its listeners that it has not accepted yet, or has closed.
+    pub orphaned: u64,
+}
+
+impl Queues {
+    /// All of them.
+    pub fn sum(&self) -> u64 {
+        self.received + self.sent + self.orphaned
+    }
+}
+
+/// Bytes in the queues of a process' sockets, and of connections to its listeners that have no process.
+pub fn queued(pid: u32, listeners: &[SocketAddr]) -> Queues {
     let inodes = sockets(pid);
     let listeners: Vec<String> = listeners.iter().map(|address| table_form(*address)).collect();
     let table = fs::read_to_string("/proc/net/tcp").unwrap();
-    let queued = table.lines().skip(1).filter_map(|line| {
+    let mut queues = Queues::default();
+    for line in table.lines().skip(1) {
         let fields: Vec<&str> = line.split_whitespace().collect();
-        let (local, state, inode) = (*fields.get(1)?, *fields.get(3)?, *fields.get(9)?);
+        let [_, local, _, state, queue, _, _, _, _, inode, ..] = fields[..] else { continue };
         // The queues of a listener are counts of connections.
-        let orphaned = inode == "0" && listeners.iter().any(|address| address == local);
-        if state == LISTEN_STATE || !(orphaned || inodes.contains(inode)) {
-            return None;
+        let Some((sent, received)) = queue.split_once(':').filter(|_| state != LISTEN_STATE) else {
+            continue;
+        };
+        let bytes = |text| u64::from_str_radix(text, 16).unwrap();
+        let (sent, received) = (bytes(sent), bytes(received));
+        if inodes.contains(inode) {
+            queues.sent += sent;
+            queues.received += received;
+        } else if inode == "0" && listeners.iter().any(|address| address == local) {
+            queues.orphaned += sent + received;
         }
-        let (sent, received) = fields.get(4)?.split_once(':')?;
-        let bytes = |text| u64::from_str_radix(text, 16).ok();
-        Some(bytes(sent)? + bytes(received)?)
-    });
-    queued.sum()
+    }
+    queues
 }
 
 /// Inodes of a process' sockets.
