--- a/components/mesh/src/process/departures.rs
+++ b/components/mesh/src/process/departures.rs
@@ -3,7 +3,8 @@
 //! They are part of this node's record: in the store, and at the other nodes, which keep them when a later incarnation of
 //! this node replaces its record. A killed process so learns from either what it had acknowledged. Where the store fails,
 //! a node of another failure domain has to know them, as this one may be lost as a whole, and they are written to the
-//! store until it has them. Where all that knew are lost, a process doubts heartbeats (see [`super::upstream`]).
+//! store until it has them. Where all that knew are lost, a new process needs more than one heartbeat to use the upstream
+//! (see [`super::upstream`]).
 
 use std::collections::BTreeSet;
 use std::sync::Mutex;
--- a/components/mesh/src/process/exchange.rs
+++ b/components/mesh/src/process/exchange.rs
@@ -9,7 +9,7 @@
 //! cost only a few additional messages.
 
 mod message;
-pub mod reunion;
+pub mod restarted;
 pub mod targets;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
--- a/components/mesh/src/process/exchange/reunion.rs
+++ b/components/mesh/src/process/exchange/restarted.rs
@@ -1,4 +1,4 @@
-//! Nodes that were restarted and have not told it, as they know no other node while the store fails.
+//! Nodes that were restarted while the store fails, so that they know no other node to tell of it.
 //!
 //! Such a node refuses calls for an upstream that it has not heard of, which shows the delegates of other failure domains
 //! that it needs an exchange. One node of a failure domain is enough, as it tells the others.
@@ -12,15 +12,15 @@
 /// Time between two exchanges with nodes of a failure domain for this reason.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Exchanges with such nodes.
+/// Restarted nodes that need an exchange.
 #[derive(Debug, Default)]
-pub struct Reunions {
+pub struct RestartedNodes {
     due: Vec<Record>,
     /// When a node of a failure domain was last chosen.
     chosen: HashMap<Arc<str>, Instant>,
 }
 
-impl Reunions {
+impl RestartedNodes {
     /// Takes note of a node that refused a call in this way; true if an exchange with it is due now.
     pub fn record_refusal(&mut self, node: &Record, now: Instant) -> bool {
         let chosen = self.chosen.get(&node.zone);
--- a/components/mesh/src/process/exchange/targets.rs
+++ b/components/mesh/src/process/exchange/targets.rs
@@ -194,7 +194,7 @@
         targets.extend(leader.cloned());
     }
     targets.extend(missing(shared, view));
-    targets.extend(lock(&shared.reunions).take_due());
+    targets.extend(lock(&shared.restarted_nodes).take_due());
     if shared.kept.is_urgent() {
         let mut holders = reachable_domains(shared, now);
         if holders.is_empty() {
--- a/components/mesh/src/process/shared.rs
+++ b/components/mesh/src/process/shared.rs
@@ -15,7 +15,7 @@
 use super::confirmation::Confirmation;
 use super::departures::Kept;
 use super::events::{Event, Sink};
-use super::exchange::reunion::Reunions;
+use super::exchange::restarted::RestartedNodes;
 use super::follow::FollowState;
 use super::limiter::Limiter;
 use super::metrics::Metrics;
@@ -114,7 +114,7 @@
     /// Triggers an exchange with other nodes.
     pub exchange_now: Notify,
     /// Restarted nodes that need an exchange.
-    pub reunions: Mutex<Reunions>,
+    pub restarted_nodes: Mutex<RestartedNodes>,
     /// Requests of callers and the upstream that have no answer yet.
     pub open_requests: AtomicU32,
     /// What becomes of requests when the node stops.
@@ -177,7 +177,7 @@
             suspects: Mutex::new(SuspectTable::with_trial_spread(rand::random_range(0.0..1.0))),
             quotas,
             exchange_now: Notify::new(),
-            reunions: Mutex::default(),
+            restarted_nodes: Mutex::default(),
             open_requests: AtomicU32::new(0),
             shutdown: Shutdown::default(),
             stopping: watch::Sender::new(false),
@@ -406,14 +406,14 @@
     /// Reacts to a node that refused a call as it has not heard of its upstream, unlike this node: it was restarted.
     pub fn record_unknown_upstream(&self, node: &Record) {
         let is_delegate = lock(&self.aggregates).duties.domain;
-        if is_delegate && lock(&self.reunions).record_refusal(node, self.now()) {
+        if is_delegate && lock(&self.restarted_nodes).record_refusal(node, self.now()) {
             self.exchange_now.notify_one();
         }
     }
 
     /// Has a node sent the configuration that it lacks.
     pub fn exchange_again(&self, node: &Record) {
-        lock(&self.reunions).continue_with(node);
+        lock(&self.restarted_nodes).continue_with(node);
         self.exchange_now.notify_one();
     }
 
--- a/components/mesh/tests/upstream.rs
+++ b/components/mesh/tests/upstream.rs
@@ -212,7 +212,7 @@
 }
 
 /// An upstream that a process hears of, which started after it and may have had a predecessor.
-fn doubting(now: Instant) -> Upstream {
+fn restarted(now: Instant) -> Upstream {
     Upstream::new(HEARTBEAT_INTERVAL, DRAIN_TIME, now).with_predecessor(1_000)
 }
 
@@ -221,7 +221,7 @@
 #[gtest]
 fn late_heartbeats_do_not_make_an_upstream_ready() {
     let now = Instant::now();
-    let mut upstream = doubting(now);
+    let mut upstream = restarted(now);
     let ready = |sequence| heartbeat("i", 10, sequence, AnnouncedState::Ready);
     expect_that!(upstream.apply(ready(5), at(now)), eq(Change::Unconfirmed));
     expect_that!(upstream.apply(ready(4), at(now + HEARTBEAT_INTERVAL)), eq(Change::Stale));
@@ -242,7 +242,7 @@
 fn heartbeats_do_not_outweigh_a_failed_health_check() {
     let now = Instant::now();
     for check in [None, Some(HealthCheck::Denies)] {
-        let mut upstream = doubting(now);
+        let mut upstream = restarted(now);
         for number in 0..20 {
             let at = at(now + HEARTBEAT_INTERVAL * number);
             upstream.apply(heartbeat("i", 10, number.into(), AnnouncedState::Ready), at);
@@ -265,7 +265,7 @@
 fn an_upstream_is_ready_once_it_is_confirmed() {
     let now = Instant::now();
     let ready = |sequence| heartbeat("i", 10, sequence, AnnouncedState::Ready);
-    let mut confirmed = doubting(now);
+    let mut confirmed = restarted(now);
     confirmed.apply(ready(5), at(now));
     expect_that!(confirmed.record_check("i", HealthCheck::Confirms, at(now)), eq(Change::Started));
     expect_that!(confirmed.state(), eq(UpstreamState::Ready));
@@ -274,7 +274,7 @@
         [(Predecessor::Absent, 0), (Predecessor::Witnessed, 1), (Predecessor::Unknown, 2)]
     {
         for known_first in [false, true] {
-            let mut upstream = doubting(now);
+            let mut upstream = restarted(now);
             if known_first {
                 upstream.learn_predecessor(known, at(now));
             }
@@ -288,7 +288,7 @@
         }
     }
 
-    let mut later = doubting(now);
+    let mut later = restarted(now);
     later.apply(heartbeat("i", 1_001, 1, AnnouncedState::Ready), at(now));
     expect_that!(later.state(), eq(UpstreamState::Ready), "it started after the process");
 }
@@ -297,13 +297,13 @@
 #[gtest]
 fn a_confirmed_upstream_that_has_left_is_leaving() {
     let now = Instant::now();
-    let mut upstream = doubting(now);
+    let mut upstream = restarted(now);
     upstream.apply(heartbeat("i", 10, 5, AnnouncedState::Ready), at(now));
     upstream.apply(leave("i", Some(10)), at(now));
     upstream.record_check("i", HealthCheck::Confirms, at(now));
     expect_that!(upstream.state(), eq(UpstreamState::Leaving));
 
-    let mut upstream = doubting(now);
+    let mut upstream = restarted(now);
     upstream.apply(heartbeat("i", 10, 5, AnnouncedState::Ready), at(now));
     upstream.apply(heartbeat("i", 10, 6, AnnouncedState::Draining), at(now));
     expect_that!(upstream.state(), eq(UpstreamState::Leaving));
@@ -313,7 +313,7 @@
 #[gtest]
 fn a_late_heartbeat_of_a_replaced_incarnation_does_not_hide_its_successor() {
     let now = Instant::now();
-    let mut upstream = doubting(now);
+    let mut upstream = restarted(now);
     upstream.apply(heartbeat("old", 10, 5, AnnouncedState::Ready), at(now));
     upstream.apply(heartbeat("new", 20, 1, AnnouncedState::Ready), at(now));
     let late = upstream.apply(heartbeat("old", 10, 6, AnnouncedState::Ready), at(now));
