--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -345,7 +345,7 @@
         self.id = f"i-{random.getrandbits(32):08x}"
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.tasks = set()
+        self.writers = set()
         self.state = "ready"
 
     async def start(self):
@@ -384,7 +384,15 @@
         except (OSError, Incomplete, asyncio.TimeoutError):
             return False
 
+    async def stop(self):
+        """Ends as a process does: nothing is accepted, and all connections are closed."""
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
@@ -402,6 +410,7 @@
         except (Incomplete, OSError, asyncio.CancelledError) as err:
             self.record.note("backend", self.node.name, "connection ended:", type(err).__name__, err)
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def answer_headers(self, request):
