--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -39,10 +39,15 @@
 
 
 def free_ports(count):
-    """Free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
+    """Free ports of the loopback address, below those that the system gives to clients."""
+    sockets = []
+    while len(sockets) < count:
+        one = socket.socket()
+        try:
+            one.bind(("127.0.0.1", random.randrange(15_000, 32_000)))
+            sockets.append(one)
+        except OSError:
+            one.close()
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
