--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -217,6 +217,7 @@
 
     def __init__(self, name, zone, region, service, store, folder, record):
         self.name, self.service, self.record, self.folder = name, service, record, folder
+        self.zone, self.ended = zone, False
         ports = free_ports(6)
         self.inbound, self.outbound, self.ready, self.control, self.metrics, self.app = ports
         self.process = None
@@ -295,6 +296,8 @@
             json.dump(settings, file)
 
     async def start(self):
+        if self.ended:
+            return
         with open(os.path.join(self.folder, f"{self.name}.log"), "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 PROGRAM,
@@ -325,6 +328,7 @@
             writer.close()
 
     async def end(self):
+        self.ended = True
         if self.process and self.process.returncode is None:
             try:
                 self.process.send_signal(signal.SIGCONT)
@@ -351,6 +355,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.writers = set()
+        self.running = 0
         self.state = "ready"
 
     async def start(self):
@@ -368,7 +373,7 @@
             {
                 "service": self.node.service,
                 "address": f"127.0.0.1:{self.node.app}",
-                "zone": "almaty-a",
+                "zone": self.node.zone,
                 "version": "v1",
                 "slots": self.slots,
                 "state": self.state,
@@ -411,7 +416,11 @@
                     await read_body(reader, headers)
                     writer.write(response(421, b"", {"X-Instance-Id": self.id, "X-Request-Id": request.id}))
                     continue
-                await self.run(self, request, reader, writer)
+                self.running += 1
+                try:
+                    await self.run(self, request, reader, writer)
+                finally:
+                    self.running -= 1
         except (Incomplete, OSError, asyncio.CancelledError) as err:
             self.record.note("backend", self.node.name, "connection ended:", type(err).__name__, err)
         finally:
@@ -422,7 +431,7 @@
         return {
             "X-Request-Id": request.id,
             "X-Response-Signature": "3e1b.07.5a2.600.0.c9f2a4d1",
-            "X-Server-Load": f"1,0,{self.slots}",
+            "X-Server-Load": f"{self.running},0,{self.slots}",
         }
 
 
@@ -492,6 +501,8 @@
     deployment = Deployment(case_folder)
 
     async def main():
+        # Whoever ends the script ends all that it started, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(deployment), limit)
         finally:
@@ -499,7 +510,7 @@
 
     try:
         held = asyncio.run(main())
-    except (CannotRun, asyncio.TimeoutError, OSError) as err:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as err:
         deployment.record.note("could not run:", type(err).__name__, err)
         print(f"could not run: {type(err).__name__} {err}")
         sys.exit(2)
